--- /dev/null
+++ b/Libraries/LibTables/Serialize.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "LibTables/Tables.h"
+#include "LibWire/Codec.h"
+
+#include <cereal/types/set.hpp>
+
+/// How tables and edits are written to an archive. Include in Codec.cpp files
+/// only, since it brings in cereal.
+namespace cranberryfold::tables {
+
+template<class Archive>
+void
+serialize(Archive& aArchive, pool& aPool)
+{
+  aArchive(aPool.mName, aPool.mService);
+  wire::SerializeEnumeration(
+    aArchive, aPool.mObjective, pool_objective::kRecoveryTime);
+  aArchive(aPool.mMaxConcurrency,
+           aPool.mQueueLimit,
+           aPool.mQueueWaitMilliseconds,
+           aPool.mRetryPercent);
+  wire::SerializeEnumeration(aArchive, aPool.mSpill, spill_scope::kAll);
+  aArchive(aPool.mColdStartMilliseconds);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, route& aRoute)
+{
+  aArchive(aRoute.mName, aRoute.mMethods, aRoute.mPathPrefix, aRoute.mPool);
+  wire::SerializeEnumeration(aArchive, aRoute.mClass, work_class::kUpload);
+  aArchive(aRoute.mIdempotent, aRoute.mTimeoutMilliseconds, aRoute.mExtraTries);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, table_set& aTables)
+{
+  aArchive(aTables.mPools, aTables.mRoutes);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, put_pool& aChange)
+{
+  aArchive(aChange.mPool);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, remove_pool& aChange)
+{
+  aArchive(aChange.mName);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, put_route& aChange)
+{
+  aArchive(aChange.mRoute);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, remove_route& aChange)
+{
+  aArchive(aChange.mName);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, add_replica& aChange)
+{
+  aArchive(aChange.mInstance, aChange.mPeerAddress);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, remove_replica& aChange)
+{
+  aArchive(aChange.mInstance);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, edit& aEdit)
+{
+  aArchive(aEdit.mId, aEdit.mBase, aEdit.mChanges);
+}
+
+}
