--- /dev/null
+++ b/Libraries/LibTraffic/LoadStamp.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace cranberryfold::traffic {
+
+/// State of an upstream's admission control, carried on each of its responses
+/// and refusals.
+struct load_stamp
+{
+  /// Calls that are running at the upstream or waiting in its queue.
+  std::uint32_t mInFlight = 0;
+  /// Current concurrency limit, at most the slots.
+  std::uint32_t mLimit = 0;
+  /// Calls with a smaller ShedPosition() are refused; 0 refuses none.
+  std::uint32_t mAdmissionThreshold = 0;
+  bool mDraining = false;
+
+  auto operator<=>(load_stamp const&) const = default;
+};
+
+}
