LibTraffic: Add admission control of the local upstream

A concurrency limit within the slots, a short priority queue, and an admission threshold fed back from arrivals and completions. A limit that shrinks on latency alone would cost throughput at an upstream whose service time has simply grown, so each smaller limit is a trial that is kept only when latency falls with it.

--- /dev/null
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -0,0 +1,272 @@
+#include "LibTraffic/AdmissionController.h"
+
+#include "LibCore/Assert.h"
+
+#include <algorithm>
+
+namespace cranberryfold::traffic {
+
+using core::refusal_reason;
+
+namespace {
+
+/// A queue is standing when no call has left it after a short wait for this
+/// long.
+constexpr core::duration kStandingAfter{ 100'000 };
+/// Part of the longest wait that counts as short.
+constexpr int kShortWaitPart = 4;
+/// With this objective the queue is this much shorter.
+constexpr std::uint32_t kRecoveryQueuePart = 2;
+constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+/// Where another upstream can run the call, there is no reason to wait.
+core::duration
+RetryAfter(refusal_reason aReason)
+{
+  return aReason == refusal_reason::kDraining ? core::duration{}
+                                              : kOverloadRetryAfter;
+}
+
+}
+
+admission_controller::admission_controller(core::time_point aNow,
+                                           admission_mechanisms aMechanisms)
+  : mMechanisms(aMechanisms)
+  , mLimit(aMechanisms.mAdaptiveLimit)
+  , mFeedback(aNow)
+  , mShortWaitSeen(aNow)
+{
+}
+
+std::vector<admission_action>
+admission_controller::Handle(core::time_point aNow,
+                             admission_event const& aEvent)
+{
+  mFeedback.Advance(aNow);
+  std::visit([&](auto const& aTyped) { On(aNow, aTyped); }, aEvent);
+  Dispatch(aNow);
+  if (HasRoom(aNow)) {
+    mFeedback.CountRoom();
+  }
+  return std::exchange(mActions, {});
+}
+
+load_stamp
+admission_controller::Stamp(core::time_point aNow) const
+{
+  return { static_cast<std::uint32_t>(mRunning.size() + mQueue.Size()),
+           mLimit.Limit(aNow),
+           mMechanisms.mThreshold ? mFeedback.Threshold() : 0,
+           mDraining };
+}
+
+void
+admission_controller::On(core::time_point aNow, call_arrived const& aEvent)
+{
+  CF_ASSERT(!mRunning.contains(aEvent.mCall), "a call arrived twice");
+  if (mDraining) {
+    Refuse(aEvent.mCall, refusal_reason::kDraining);
+    return;
+  }
+  auto const position = ShedPosition(aEvent.mContext, mMechanisms.mOrder);
+  mFeedback.CountArrival(position);
+  if (IsBelowThreshold(aNow, position)) {
+    Refuse(aEvent.mCall, refusal_reason::kCutOff);
+    return;
+  }
+  queued_call const call{
+    aEvent.mCall, ShedBand(position), aNow, aEvent.mContext.mDeadline
+  };
+  if (mMechanisms.mQueueDeadline && !CanMeetDeadline(aNow, call)) {
+    Refuse(aEvent.mCall, refusal_reason::kDeadlineExceeded);
+    return;
+  }
+  if (HasRoom(aNow)) {
+    Admit(aNow, aEvent.mCall);
+    return;
+  }
+  Enqueue(aNow, call);
+}
+
+void
+admission_controller::On(core::time_point aNow, call_finished const& aEvent)
+{
+  auto const found = mRunning.find(aEvent.mCall);
+  CF_ASSERT(found != mRunning.end(), "a call finished that was not running");
+  mLimit.Record(
+    aNow, aEvent.mLatency, static_cast<std::uint32_t>(mRunning.size()));
+  mFeedback.CountCompletion();
+  mRunning.erase(found);
+}
+
+void
+admission_controller::On(core::time_point aNow, call_cancelled const& aEvent)
+{
+  if (mQueue.Remove(aEvent.mCall)) {
+    return;
+  }
+  auto const found = mRunning.find(aEvent.mCall);
+  if (found == mRunning.end()) {
+    return;
+  }
+  // A call that is abandoned after its deadline took at least this long;
+  // without these samples, a slow upstream looks fast.
+  mLimit.Record(aNow,
+                aNow - found->second.mAdmitted,
+                static_cast<std::uint32_t>(mRunning.size()));
+  mRunning.erase(found);
+}
+
+void
+admission_controller::On(core::time_point aNow, admission_tick const&)
+{
+  Expire(aNow);
+}
+
+void
+admission_controller::On(core::time_point, configuration_changed const& aEvent)
+{
+  mPool = aEvent.mPool;
+  mLimit.Configure(aEvent.mSlots, aEvent.mPool);
+  mFeedback.SetObjective(aEvent.mPool.mObjective);
+}
+
+void
+admission_controller::On(core::time_point aNow, upstream_restarted const&)
+{
+  CF_ASSERT(mRunning.empty(), "calls of the earlier process were not ended");
+  mLimit.Restart(aNow);
+}
+
+void
+admission_controller::On(core::time_point, admission_drain_started const&)
+{
+  mDraining = true;
+  while (auto const call = mQueue.PopFirst()) {
+    Refuse(call->mCall, refusal_reason::kDraining);
+  }
+}
+
+bool
+admission_controller::HasRoom(core::time_point aNow) const
+{
+  return mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow);
+}
+
+bool
+admission_controller::IsBelowThreshold(core::time_point aNow,
+                                       std::uint32_t aPosition) const
+{
+  if (!mMechanisms.mThreshold || aPosition >= mFeedback.Threshold()) {
+    return false;
+  }
+  // A free place is not left empty for a threshold that has yet to come down.
+  return !(mMechanisms.mFastReadmission && HasRoom(aNow));
+}
+
+bool
+admission_controller::CanMeetDeadline(core::time_point aNow,
+                                      queued_call const& aCall) const
+{
+  core::duration wait{};
+  if (!HasRoom(aNow) && mFeedback.CompletionRate() > 0) {
+    auto const ahead = static_cast<double>(mQueue.AheadOf(aCall.mBand));
+    wait = core::duration(static_cast<std::int64_t>(
+      kMicrosecondsPerSecond * ahead / mFeedback.CompletionRate()));
+  }
+  return aNow + std::min(wait, LongestWait()) + mLimit.Baseline() <
+         aCall.mDeadline;
+}
+
+std::size_t
+admission_controller::QueueLimit() const
+{
+  if (mPool.mObjective == tables::pool_objective::kRecoveryTime) {
+    return mPool.mQueueLimit / kRecoveryQueuePart;
+  }
+  return mPool.mQueueLimit;
+}
+
+core::duration
+admission_controller::LongestWait() const
+{
+  core::duration const wait =
+    std::chrono::milliseconds(mPool.mQueueWaitMilliseconds);
+  if (mPool.mObjective == tables::pool_objective::kRecoveryTime) {
+    return wait / kRecoveryQueuePart;
+  }
+  return wait;
+}
+
+void
+admission_controller::Enqueue(core::time_point aNow, queued_call const& aCall)
+{
+  if (mQueue.IsEmpty()) {
+    mShortWaitSeen = aNow;
+    mStandingQueue = false;
+  }
+  bool const standing = mMechanisms.mDropNewest && mStandingQueue;
+  if (standing || mQueue.Size() >= QueueLimit()) {
+    mFeedback.CountOverload();
+    auto const dropped = mQueue.PopNewestBelow(aCall.mBand);
+    Refuse(dropped ? dropped->mCall : aCall.mCall, refusal_reason::kQueueFull);
+    if (!dropped) {
+      return;
+    }
+  }
+  mQueue.Push(aCall);
+}
+
+void
+admission_controller::Dispatch(core::time_point aNow)
+{
+  while (!mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow)) {
+    auto const call = mQueue.PopFirst();
+    NoteWait(aNow, *call);
+    if (mMechanisms.mQueueDeadline &&
+        aNow + mLimit.Baseline() >= call->mDeadline) {
+      Refuse(call->mCall, refusal_reason::kDeadlineExceeded);
+      continue;
+    }
+    Admit(aNow, call->mCall);
+  }
+}
+
+void
+admission_controller::Expire(core::time_point aNow)
+{
+  for (auto const& call : mQueue.PopExpired(aNow, aNow - LongestWait())) {
+    mFeedback.CountOverload();
+    Refuse(call.mCall,
+           call.mDeadline <= aNow ? refusal_reason::kDeadlineExceeded
+                                  : refusal_reason::kQueueTimeout);
+  }
+}
+
+void
+admission_controller::NoteWait(core::time_point aNow, queued_call const& aCall)
+{
+  if (aNow - aCall.mArrived < LongestWait() / kShortWaitPart) {
+    mShortWaitSeen = aNow;
+  }
+  mStandingQueue = aNow >= mShortWaitSeen + kStandingAfter;
+}
+
+void
+admission_controller::Admit(core::time_point aNow, call_id aCall)
+{
+  auto const added = mRunning.emplace(aCall, running_call{ aNow }).second;
+  CF_ASSERT(added, "a call was admitted twice");
+  CF_ASSERT(mRunning.size() <= mLimit.Limit(aNow),
+            "more calls run than the limit allows");
+  mActions.emplace_back(admit_call{ aCall });
+}
+
+void
+admission_controller::Refuse(call_id aCall, refusal_reason aReason)
+{
+  mActions.emplace_back(refuse_call{ aCall, aReason, RetryAfter(aReason) });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "LibCore/Reasons.h"
+#include "LibCore/Time.h"
+#include "LibTables/Tables.h"
+#include "LibTraffic/AdmissionFeedback.h"
+#include "LibTraffic/AdmissionLimit.h"
+#include "LibTraffic/AdmissionQueue.h"
+#include "LibTraffic/CallContext.h"
+#include "LibTraffic/LoadStamp.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+/// Decides which calls the local upstream runs, and when.
+namespace cranberryfold::traffic {
+
+struct call_arrived
+{
+  call_id mCall;
+  call_context mContext;
+};
+
+/// Ends an admitted call. A failed one counts as work done, since it held a
+/// place at the upstream.
+struct call_finished
+{
+  call_id mCall;
+  bool mSuccess = true;
+  /// From dispatch to the end of the response.
+  core::duration mLatency{};
+};
+
+/// Ends a waiting or admitted call that nobody waits for any longer. Ignored
+/// for calls that are neither, since a refusal may cross the cancellation.
+struct call_cancelled
+{
+  call_id mCall;
+};
+
+/// Expected every 10 ms or so; expires waiting calls.
+struct admission_tick
+{};
+
+struct configuration_changed
+{
+  std::uint32_t mSlots = 1;
+  tables::pool mPool;
+};
+
+/// The upstream process runs again, with cold caches. The owner has ended all
+/// calls that the earlier process ran.
+struct upstream_restarted
+{};
+
+/// From now on everything new is refused; admitted calls run to their end.
+struct admission_drain_started
+{};
+
+using admission_event = std::variant<call_arrived,
+                                     call_finished,
+                                     call_cancelled,
+                                     admission_tick,
+                                     configuration_changed,
+                                     upstream_restarted,
+                                     admission_drain_started>;
+
+struct admit_call
+{
+  call_id mCall;
+  bool operator==(admit_call const&) const = default;
+};
+
+/// The call was not run and will not be.
+struct refuse_call
+{
+  call_id mCall;
+  core::refusal_reason mReason = core::refusal_reason::kInternal;
+  core::duration mRetryAfter{};
+  bool operator==(refuse_call const&) const = default;
+};
+
+using admission_action = std::variant<admit_call, refuse_call>;
+
+/// Parts that randomised runs switch off to show what each is good for.
+struct admission_mechanisms
+{
+  bool mAdaptiveLimit = true;
+  bool mThreshold = true;
+  bool mQueueDeadline = true;
+  bool mDropNewest = true;
+  bool mFastReadmission = true;
+  shed_rules mOrder;
+
+  bool operator==(admission_mechanisms const&) const = default;
+};
+
+/// Admission control of one upstream. Starts with one slot; the owner sends
+/// configuration_changed first.
+class admission_controller
+{
+public:
+  explicit admission_controller(core::time_point aNow,
+                                admission_mechanisms aMechanisms = {});
+
+  std::vector<admission_action> Handle(core::time_point aNow,
+                                       admission_event const& aEvent);
+
+  /// Returns the stamp for a response that leaves at aNow.
+  load_stamp Stamp(core::time_point aNow) const;
+
+  std::size_t Running() const { return mRunning.size(); }
+  std::size_t Waiting() const { return mQueue.Size(); }
+
+private:
+  using actions = std::vector<admission_action>;
+
+  struct running_call
+  {
+    core::time_point mAdmitted;
+  };
+
+  void On(core::time_point aNow, call_arrived const& aEvent);
+  void On(core::time_point aNow, call_finished const& aEvent);
+  void On(core::time_point aNow, call_cancelled const& aEvent);
+  void On(core::time_point aNow, admission_tick const& aEvent);
+  void On(core::time_point aNow, configuration_changed const& aEvent);
+  void On(core::time_point aNow, upstream_restarted const& aEvent);
+  void On(core::time_point aNow, admission_drain_started const& aEvent);
+
+  bool HasRoom(core::time_point aNow) const;
+  bool IsBelowThreshold(core::time_point aNow, std::uint32_t aPosition) const;
+  bool CanMeetDeadline(core::time_point aNow, queued_call const& aCall) const;
+  std::size_t QueueLimit() const;
+  core::duration LongestWait() const;
+  void Enqueue(core::time_point aNow, queued_call const& aCall);
+  void Dispatch(core::time_point aNow);
+  void Expire(core::time_point aNow);
+  void NoteWait(core::time_point aNow, queued_call const& aCall);
+  void Admit(core::time_point aNow, call_id aCall);
+  void Refuse(call_id aCall, core::refusal_reason aReason);
+
+  admission_mechanisms mMechanisms;
+  tables::pool mPool;
+  concurrency_limit mLimit;
+  admission_feedback mFeedback;
+  admission_queue mQueue;
+  std::unordered_map<call_id, running_call> mRunning;
+  bool mDraining = false;
+  /// Since when no call has left the queue after a short wait.
+  core::time_point mShortWaitSeen;
+  bool mStandingQueue = false;
+  actions mActions;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -0,0 +1,138 @@
+#include "LibTraffic/AdmissionLimit.h"
+
+#include <algorithm>
+
+namespace cranberryfold::traffic {
+
+namespace {
+
+/// Calls of a window: fewer make the mean latency too noisy for a comparison.
+constexpr std::uint32_t kWindowCalls = 40;
+constexpr core::duration kMinimumWindow{ 50'000 };
+/// Share of the limit in use from which a call counts as busy.
+constexpr double kBusyShare = 0.75;
+/// Latency over baseline from which calls are taken to compete.
+constexpr double kCompetition = 1.6;
+constexpr double kShrink = 0.7;
+/// Between unchanged latency and latency that fell as much as the limit.
+constexpr double kTrialGain = (1 + kShrink) / 2;
+constexpr double kBaselineDrift = 0.1;
+constexpr double kSlowGrowth = 0.1;
+constexpr double kFastGrowth = 0.3;
+/// Share of the slots that a cold upstream starts with.
+constexpr double kColdShare = 0.2;
+
+}
+
+void
+concurrency_limit::Configure(std::uint32_t aSlots, tables::pool const& aPool)
+{
+  auto const cap = aPool.mMaxConcurrency == 0
+                     ? aSlots
+                     : std::min(aSlots, aPool.mMaxConcurrency);
+  double const slots = std::max(cap, 1U);
+  if (slots != mSlots) {
+    mLimit = slots;
+    mTrial.reset();
+  }
+  mSlots = slots;
+  mObjective = aPool.mObjective;
+  mColdStart = std::chrono::milliseconds(aPool.mColdStartMilliseconds);
+}
+
+void
+concurrency_limit::Restart(core::time_point aNow)
+{
+  mRestarted = aNow;
+  mLimit = mSlots;
+  mBaseline = 0;
+  mWindow = { aNow };
+  mTrial.reset();
+}
+
+std::uint32_t
+concurrency_limit::Limit(core::time_point aNow) const
+{
+  double limit = mLimit;
+  if (mRestarted && aNow < *mRestarted + mColdStart) {
+    auto const elapsed = static_cast<double>((aNow - *mRestarted).count());
+    auto const part = elapsed / static_cast<double>(mColdStart.count());
+    limit = std::min(limit, mSlots * (kColdShare + (1 - kColdShare) * part));
+  }
+  return static_cast<std::uint32_t>(std::max(limit, 1.0));
+}
+
+core::duration
+concurrency_limit::Baseline() const
+{
+  return core::duration(static_cast<std::int64_t>(mBaseline));
+}
+
+void
+concurrency_limit::Record(core::time_point aNow,
+                          core::duration aLatency,
+                          std::uint32_t aInFlight)
+{
+  mWindow.mLatencySum += static_cast<double>(aLatency.count());
+  ++mWindow.mCalls;
+  if (aInFlight >= kBusyShare * Limit(aNow)) {
+    ++mWindow.mBusyCalls;
+  }
+  if (mWindow.mCalls < kWindowCalls || aNow < mWindow.mStart + kMinimumWindow) {
+    return;
+  }
+  auto const closed = mWindow;
+  mWindow = { aNow };
+  CloseWindow(closed.mLatencySum / closed.mCalls,
+              2 * closed.mBusyCalls > closed.mCalls);
+}
+
+void
+concurrency_limit::CloseWindow(double aLatency, bool aBusy)
+{
+  if (mBaseline == 0 || aLatency < mBaseline) {
+    mBaseline = aLatency;
+  }
+  if (!mAdaptive) {
+    return;
+  }
+  if (mTrial) {
+    EndTrial(aLatency);
+    return;
+  }
+  if (!aBusy) {
+    // Without competition the latency is the upstream's present service time.
+    mBaseline += kBaselineDrift * (aLatency - mBaseline);
+    Grow(aLatency);
+    return;
+  }
+  if (aLatency <= kCompetition * mBaseline) {
+    Grow(aLatency);
+    return;
+  }
+  if (mLimit > 1) {
+    mTrial = trial{ mLimit, aLatency };
+    mLimit = std::max(1.0, mLimit * kShrink);
+  }
+}
+
+void
+concurrency_limit::EndTrial(double aLatency)
+{
+  if (aLatency > kTrialGain * mTrial->mLatencyBefore) {
+    mLimit = std::min(mSlots, mTrial->mLimitBefore);
+    mBaseline = std::max(mBaseline, aLatency);
+  }
+  mTrial.reset();
+}
+
+void
+concurrency_limit::Grow(double aLatency)
+{
+  bool const fast = mObjective == tables::pool_objective::kRecoveryTime ||
+                    aLatency <= (1 + kSlowGrowth) * mBaseline;
+  auto const step = std::max(1.0, mLimit * (fast ? kFastGrowth : kSlowGrowth));
+  mLimit = std::min(mSlots, mLimit + step);
+}
+
+}
--- a/Libraries/LibTraffic/AdmissionThreshold.cpp
+++ b/Libraries/LibTraffic/AdmissionThreshold.cpp
@@ -1,16 +1,32 @@
 #include "LibTraffic/AdmissionThreshold.h"
 
+#include "LibCore/Hash.h"
+
 namespace cranberryfold::traffic {
 
+namespace {
+
+std::uint32_t
+CallerGroup(call_context const& aContext, shed_rules const& aRules)
+{
+  auto const hash = aRules.mByCaller
+                      ? aContext.mCallerHash
+                      : core::Hash64(aContext.mRequest.mValue, aContext.mDepth);
+  return static_cast<std::uint32_t>(hash % kCallerGroups);
+}
+
+}
+
 std::uint32_t
-ShedPosition(call_context const& aContext)
+ShedPosition(call_context const& aContext, shed_rules const& aRules)
 {
   auto const level =
-    static_cast<std::uint32_t>(tables::ShedOrder(aContext.mClass));
-  std::uint32_t const passed = aContext.mDepth > 0 ? kCallerGroups : 0;
-  auto const group =
-    static_cast<std::uint32_t>(aContext.mCallerHash % kCallerGroups);
-  return level * kLevelPositions + passed + group;
+    aRules.mByClass
+      ? static_cast<std::uint32_t>(tables::ShedOrder(aContext.mClass))
+      : 0;
+  bool const passed = aRules.mByHop && aContext.mDepth > 0;
+  return level * kLevelPositions + (passed ? kCallerGroups : 0) +
+         CallerGroup(aContext, aRules);
 }
 
 }
