--- /dev/null
+++ b/Libraries/LibDaemon/AdminApi.cpp
@@ -0,0 +1,364 @@
+#include "LibDaemon/AdminApi.h"
+
+#include "LibCore/Log.h"
+#include "LibDaemon/AdminEdits.h"
+#include "LibTables/TableRules.h"
+
+#include <boost/json.hpp>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+constexpr core::duration kControlTimeout = 5s;
+constexpr std::size_t kMaximumBodyBytes = 8UL * 1024UL * 1024UL;
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
+
+http::response
+JsonResponse(unsigned aStatus, json::value const& aValue)
+{
+  return { { aStatus, { { "content-type", "application/json" } } },
+           json::serialize(aValue) + "\n" };
+}
+
+http::response
+TextResponse(unsigned aStatus, std::string aText)
+{
+  return { { aStatus, { { "content-type", "text/plain" } } },
+           std::move(aText) };
+}
+
+json::value
+MemberJson(membership::member const& aMember)
+{
+  auto const& told = aMember.mAnnouncement;
+  return { { "instance", told.mInstance.mValue },
+           { "zone", told.mZone.mValue },
+           { "region", told.mRegion.mValue },
+           { "service", told.mService.mValue },
+           { "state", membership::LifecycleStateName(told.mLifecycle) },
+           { "view", membership::MemberStateName(aMember.mState) },
+           { "peer_address", core::FormatAddress(told.mPeerAddress) },
+           { "admin_address", core::FormatAddress(told.mAdminAddress) },
+           { "incarnation", told.mIncarnation.mValue },
+           { "slots", told.mSlots },
+           { "control", told.mControlReplica } };
+}
+
+json::value
+TablesJson(core::revision aRevision,
+           std::uint64_t aHash,
+           bool aIsStale,
+           tables::table_set const& aTables)
+{
+  return { { "revision", aRevision.mValue },
+           { "hash", FormatHash(aHash) },
+           { "stale", aIsStale },
+           { "tables", json::parse(tables::FormatTables(aTables)) } };
+}
+
+}
+
+admin_api::admin_api(asio::io_context& aContext,
+                     daemon_settings const& aSettings,
+                     control_plane& aControl,
+                     traffic_policy& aPolicy,
+                     metrics& aMetrics,
+                     state_function aState)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mControl(aControl)
+  , mPolicy(aPolicy)
+  , mMetrics(aMetrics)
+  , mState(std::move(aState))
+  , mServer(aContext.get_executor(), [this](http::server_exchange& aExchange) {
+    return Handle(aExchange);
+  })
+{
+}
+
+core::result<void>
+admin_api::Start()
+{
+  return mServer.Listen(mSettings.mAdminAddress);
+}
+
+task<void>
+admin_api::Handle(http::server_exchange& aExchange)
+{
+  std::string body;
+  bool isTooLarge = false;
+  auto const read =
+    co_await aExchange.ReadBody([&](std::string_view aBytes) {
+      isTooLarge = isTooLarge || body.size() + aBytes.size() > kMaximumBodyBytes;
+      if (!isTooLarge) {
+        body += aBytes;
+      }
+    });
+  if (!read) {
+    co_return;
+  }
+  auto const head = aExchange.Head();
+  http::response response;
+  if (isTooLarge) {
+    response = TextResponse(kTooLarge, "the body is too large\n");
+  } else {
+    response = co_await Respond(head.mMethod, head.mTarget, std::move(body));
+  }
+  co_await aExchange.Respond(response);
+}
+
+task<http::response>
+admin_api::Respond(std::string_view aMethod,
+                   std::string_view aTarget,
+                   std::string aBody)
+{
+  auto const path = http::PathOf(aTarget);
+  if (aMethod == "POST" && path == "/v1/edits") {
+    co_return co_await SubmitEdit(std::move(aBody));
+  }
+  if (aMethod != "GET") {
+    co_return TextResponse(kNotFound, "no such resource\n");
+  }
+  if (path == "/metrics") {
+    co_return TextResponse(kOk, mMetrics.Text());
+  }
+  if (path == "/healthz") {
+    co_return TextResponse(kOk, "ok\n");
+  }
+  if (path == "/readyz") {
+    co_return Ready();
+  }
+  if (path == "/v1/tables") {
+    co_return co_await Tables(aTarget);
+  }
+  if (path == "/v1/history") {
+    co_return History();
+  }
+  if (path == "/v1/status") {
+    co_return Status();
+  }
+  if (path == "/v1/members") {
+    co_return Members();
+  }
+  if (path == "/v1/explain") {
+    co_return Explain(aTarget);
+  }
+  co_return TextResponse(kNotFound, "no such resource\n");
+}
+
+http::response
+admin_api::Ready() const
+{
+  if (!mControl.HasJoined()) {
+    return TextResponse(kUnavailable, "not joined: no seed has answered\n");
+  }
+  if (mPolicy.IsDraining()) {
+    return TextResponse(kUnavailable, "draining\n");
+  }
+  if (!mPolicy.IsUpstreamReady()) {
+    return TextResponse(kUnavailable, "the upstream is not ready\n");
+  }
+  return TextResponse(kOk, "ready\n");
+}
+
+task<http::response>
+admin_api::Tables(std::string_view aTarget)
+{
+  if (http::FindQuery(aTarget, "current") == "true") {
+    co_return co_await ConfirmedTables();
+  }
+  auto const& configuration = mControl.Configuration();
+  auto const tables = configuration.Tables();
+  co_return JsonResponse(kOk,
+                         TablesJson(configuration.Revision(),
+                                    configuration.Hash(),
+                                    true,
+                                    tables ? *tables : tables::table_set{}));
+}
+
+task<http::response>
+admin_api::ConfirmedTables()
+{
+  if (mControl.Replica() == nullptr) {
+    co_return NotLeader();
+  }
+  auto const answer = co_await AwaitRead(mContext, *mControl.Replica(),
+                                         kControlTimeout);
+  if (!answer || answer->mStale) {
+    bool const knowsLeader = answer && answer->mLeader &&
+                             *answer->mLeader != mSettings.mInstance;
+    if (knowsLeader) {
+      co_return NotLeader();
+    }
+    co_return JsonResponse(
+      kUnavailable,
+      { { "result", "no_majority" },
+        { "error", "no majority of control replicas confirmed the read" } });
+  }
+  co_return JsonResponse(
+    kOk,
+    TablesJson(answer->mRevision, answer->mHash, false, answer->mTables));
+}
+
+http::response
+admin_api::NotLeader() const
+{
+  json::array candidates;
+  auto const* const replica =
+    const_cast<admin_api*>(this)->mControl.Replica();
+  auto const leader =
+    replica ? replica->Status().mLeader : std::optional<core::instance_id>{};
+  for (auto const& member : mControl.Members()) {
+    auto const& told = member.mAnnouncement;
+    if (!told.mControlReplica || told.mInstance == mSettings.mInstance) {
+      continue;
+    }
+    auto const address = json::string(core::FormatAddress(told.mAdminAddress));
+    if (leader && told.mInstance == *leader) {
+      candidates.insert(candidates.begin(), address);
+    } else {
+      candidates.push_back(address);
+    }
+  }
+  return JsonResponse(
+    kMisdirected,
+    { { "result", "not_leader" }, { "candidates", candidates } });
+}
+
+task<http::response>
+admin_api::SubmitEdit(std::string aBody)
+{
+  if (mControl.Replica() == nullptr) {
+    co_return NotLeader();
+  }
+  auto const current = co_await AwaitRead(mContext, *mControl.Replica(),
+                                          kControlTimeout);
+  auto const tables = current ? current->mTables : tables::table_set{};
+  auto edit =
+    core::Attempt([&] { return ParseEditRequest(aBody, tables); });
+  if (edit && current && current->mRevision < edit->mBase) {
+    // The changes were computed against tables older than the edit's base.
+    co_return JsonResponse(kUnavailable,
+                           { { "result", "not_caught_up" },
+                             { "error", "the base revision is newer than the "
+                                        "tables of this replica" } });
+  }
+  if (!edit) {
+    co_return JsonResponse(kBadRequest,
+                           { { "result", "invalid" },
+                             { "error", edit.mError.mDetail } });
+  }
+  auto const answer = co_await AwaitEdit(
+    mContext, *mControl.Replica(), *edit, kControlTimeout);
+  if (answer.mStatus == control::edit_status::kNotLeader) {
+    co_return NotLeader();
+  }
+  auto const [status, value] = DescribeEditAnswer(answer, *edit);
+  co_return JsonResponse(status, value);
+}
+
+http::response
+admin_api::History()
+{
+  if (mControl.Replica() == nullptr) {
+    return NotLeader();
+  }
+  json::array edits;
+  for (auto const& record : mControl.Replica()->History()) {
+    edits.push_back(
+      { { "revision", record.mRevision.mValue },
+        { "edit_id", record.mId.mValue },
+        { "changes",
+          json::array{ std::to_string(record.mChangeCount) + " changes" } } });
+  }
+  return JsonResponse(kOk, { { "edits", edits } });
+}
+
+http::response
+admin_api::Status()
+{
+  auto const& configuration = mControl.Configuration();
+  json::value control;
+  if (auto* const replica = mControl.Replica()) {
+    auto const status = replica->Status();
+    json::array group;
+    for (auto const& [instance, member] : status.mGroup) {
+      group.push_back({ { "instance", instance.mValue },
+                        { "voter", member.mVoter } });
+    }
+    control = {
+      { "role", control::ReplicaRoleName(status.mRole) },
+      { "leader", status.mLeader ? status.mLeader->mValue : std::string() },
+      { "term", status.mTerm },
+      { "group", group },
+      { "stale", !status.mLeaseValid },
+    };
+  }
+  return JsonResponse(
+    kOk,
+    { { "instance", mSettings.mInstance.mValue },
+      { "zone", mSettings.mZone.mValue },
+      { "region", mSettings.mRegion.mValue },
+      { "state", mState() },
+      { "revision", configuration.Revision().mValue },
+      { "hash", FormatHash(configuration.Hash()) },
+      { "control", control } });
+}
+
+http::response
+admin_api::Members() const
+{
+  json::array members;
+  for (auto const& member : mControl.Members()) {
+    members.push_back(MemberJson(member));
+  }
+  return JsonResponse(kOk, { { "members", members } });
+}
+
+http::response
+admin_api::Explain(std::string_view aTarget) const
+{
+  auto const name = std::string(http::FindQuery(aTarget, "route"));
+  auto const view = mPolicy.View();
+  auto const route = view->mTables.mRoutes.find(name);
+  if (route == view->mTables.mRoutes.end()) {
+    return JsonResponse(kNotFound, { { "error", "no route " + name } });
+  }
+  auto const& pool = view->mTables.mPools.at(route->second.mPool);
+  // The rows are shown as the tables format writes them.
+  tables::table_set rows;
+  rows.mRoutes.insert(*route);
+  rows.mPools.emplace(pool.mName, pool);
+  auto const formatted = json::parse(tables::FormatTables(rows)).as_object();
+  json::array upstreams;
+  std::size_t serving = 0;
+  for (auto const& member : mControl.Members()) {
+    if (member.mAnnouncement.mService == pool.mService) {
+      upstreams.push_back(MemberJson(member));
+      bool const takesWork = member.mAnnouncement.mLifecycle ==
+                             membership::lifecycle_state::kServing;
+      serving += takesWork ? 1 : 0;
+    }
+  }
+  json::array problems;
+  if (serving == 0) {
+    problems.push_back("no upstream of service " +
+                       json::string(pool.mService.mValue) + " is serving");
+  }
+  return JsonResponse(kOk,
+                      { { "route", formatted.at("routes").at(0) },
+                        { "pool", formatted.at("pools").at(0) },
+                        { "upstreams", upstreams },
+                        { "problems", problems } });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/AdminEdits.cpp
@@ -0,0 +1,194 @@
+#include "LibDaemon/AdminEdits.h"
+
+#include "LibCore/JsonReader.h"
+#include "LibTables/TableRules.h"
+
+#include <array>
+#include <cstdio>
+#include <limits>
+
+#include <boost/json.hpp>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+namespace json = boost::json;
+using core::json_reader;
+using core::presence;
+
+constexpr core::integer_range kRevisionRange{
+  0,
+  std::numeric_limits<std::int64_t>::max()
+};
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kUnavailable = 503;
+
+/// One answer that a coroutine waits for.
+template<class Answer>
+struct pending_answer
+{
+  explicit pending_answer(asio::any_io_executor const& aExecutor)
+    : mSignal(aExecutor)
+  {
+  }
+
+  void Set(Answer const& aAnswer)
+  {
+    mAnswer = aAnswer;
+    mSignal.Notify();
+  }
+
+  task<void> Wait(core::duration aTimeout)
+  {
+    auto const until = Now() + aTimeout;
+    while (!mAnswer && Now() < until) {
+      co_await mSignal.Wait(until);
+    }
+  }
+
+  signal mSignal;
+  std::optional<Answer> mAnswer;
+};
+
+void
+ReadAddedReplica(json_reader& aReader, tables::edit& aEdit)
+{
+  tables::add_replica added;
+  aReader.Text("instance",
+               added.mInstance.mValue,
+               presence::kRequired,
+               "Instance of the replica.");
+  aReader.NetworkAddress("peer_address",
+                         added.mPeerAddress,
+                         presence::kRequired,
+                         "Peer address of its daemon.");
+  aEdit.mChanges.emplace_back(added);
+}
+
+void
+ReadRemovedReplica(json_reader& aReader, tables::edit& aEdit)
+{
+  tables::remove_replica removed;
+  aReader.Text("instance",
+               removed.mInstance.mValue,
+               presence::kRequired,
+               "Instance of the replica.");
+  aEdit.mChanges.emplace_back(removed);
+}
+
+}
+
+std::string
+FormatHash(std::uint64_t aHash)
+{
+  constexpr std::size_t kDigits = 17;
+  std::array<char, kDigits> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%016llx",
+                static_cast<unsigned long long>(aHash));
+  return text.data();
+}
+
+core::result<tables::edit>
+ParseEditRequest(std::string_view aBody, tables::table_set const& aCurrent)
+{
+  tables::edit edit;
+  auto reader = json_reader::ForText(aBody, "edit");
+  reader.Text(
+    "edit_id", edit.mId.mValue, presence::kRequired, "Id of the edit.");
+  reader.Number("base_revision",
+                edit.mBase.mValue,
+                kRevisionRange,
+                presence::kRequired,
+                "Revision that the edit was made against.");
+  reader.Object(
+    "add_replica",
+    presence::kOptional,
+    [&edit](json_reader& aNested) { ReadAddedReplica(aNested, edit); },
+    "Control replica to add.");
+  reader.Object(
+    "remove_replica",
+    presence::kOptional,
+    [&edit](json_reader& aNested) { ReadRemovedReplica(aNested, edit); },
+    "Control replica to remove.");
+  tables::table_set wanted;
+  bool const hasTables = reader.Object(
+    "tables",
+    presence::kOptional,
+    [&wanted](json_reader& aNested) {
+      tables::ReadTables(aNested, wanted);
+    },
+    "Both tables as they shall be.");
+  BOOST_LEAF_CHECK(reader.Finish());
+  if (hasTables) {
+    BOOST_LEAF_CHECK(tables::CheckTables(wanted));
+    auto const changes = tables::CompareTables(aCurrent, wanted);
+    edit.mChanges.insert(
+      edit.mChanges.end(), changes.begin(), changes.end());
+  }
+  return edit;
+}
+
+std::pair<unsigned, json::value>
+DescribeEditAnswer(control::edit_answer const& aAnswer,
+                   tables::edit const& aEdit)
+{
+  using control::edit_status;
+  json::object body{
+    { "result", control::EditStatusName(aAnswer.mStatus) },
+    { "revision", aAnswer.mRevision.mValue },
+    { "edit_id", aEdit.mId.mValue },
+  };
+  if (!aAnswer.mReason.empty()) {
+    body["error"] = aAnswer.mReason;
+  }
+  switch (aAnswer.mStatus) {
+    case edit_status::kAccepted:
+    case edit_status::kUnchanged:
+      return { kOk, body };
+    case edit_status::kConflict:
+      body["edit_id"] = aAnswer.mEdit.mValue;
+      return { kConflict, body };
+    case edit_status::kInvalid:
+      return { kBadRequest, body };
+    default:
+      return { kUnavailable, body };
+  }
+}
+
+task<control::edit_answer>
+AwaitEdit(asio::io_context& aContext,
+          replica_host& aReplica,
+          tables::edit aEdit,
+          core::duration aTimeout)
+{
+  auto const pending =
+    std::make_shared<pending_answer<control::edit_answer>>(
+      aContext.get_executor());
+  aReplica.SubmitEdit(
+    std::move(aEdit),
+    [pending](control::edit_answer const& aAnswer) { pending->Set(aAnswer); });
+  co_await pending->Wait(aTimeout);
+  co_return pending->mAnswer.value_or(control::edit_answer{});
+}
+
+task<std::optional<control::answer_read>>
+AwaitRead(asio::io_context& aContext,
+          replica_host& aReplica,
+          core::duration aTimeout)
+{
+  auto const pending =
+    std::make_shared<pending_answer<control::answer_read>>(
+      aContext.get_executor());
+  aReplica.Read(true, [pending](control::answer_read const& aAnswer) {
+    pending->Set(aAnswer);
+  });
+  co_await pending->Wait(aTimeout);
+  co_return pending->mAnswer;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/CallFrames.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "LibCore/Error.h"
+#include "LibCore/Ids.h"
+#include "LibCore/Reasons.h"
+#include "LibTraffic/CallContext.h"
+#include "LibTraffic/LoadStamp.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Frames on the TCP connections between daemons. The connecting side sends
+/// calls, the accepting side answers them.
+namespace cranberryfold::daemon {
+
+inline constexpr std::uint32_t kProtocolVersion = 1;
+/// Credit of each direction of a stream at its start, in bytes of body.
+inline constexpr std::uint32_t kInitialCreditBytes = 256U * 1024U;
+/// Most bytes of body in one frame.
+inline constexpr std::size_t kMaximumChunkBytes = 32UL * 1024UL;
+
+/// One call on a connection; chosen by the connecting side.
+using stream_id = core::number_id<struct stream_tag>;
+
+struct header_field
+{
+  std::string mName;
+  std::string mValue;
+
+  bool operator==(header_field const&) const = default;
+};
+
+enum class connection_kind : std::uint8_t
+{
+  kCalls,
+  kControl,
+};
+
+/// First frame of the connecting side.
+struct hello
+{
+  std::uint32_t mProtocol = kProtocolVersion;
+  connection_kind mKind = connection_kind::kCalls;
+  core::instance_id mInstance;
+  core::region_id mRegion;
+  core::address mPeerAddress;
+
+  bool operator==(hello const&) const = default;
+};
+
+/// Opens a stream. The deadline travels as time left, since clocks differ.
+struct call_head
+{
+  stream_id mStream;
+  std::uint32_t mAttempt = 0;
+  traffic::call_context mContext;
+  core::duration mTimeLeft{};
+  std::string mPool;
+  std::string mMethod;
+  std::string mTarget;
+  std::vector<header_field> mHeaders;
+  /// Absent when the length is not known in advance.
+  std::optional<std::uint64_t> mContentLength;
+  bool mHasBody = false;
+
+  bool operator==(call_head const&) const = default;
+};
+
+struct body_chunk
+{
+  stream_id mStream;
+  std::uint32_t mAttempt = 0;
+  std::string mBytes;
+  bool mLast = false;
+
+  bool operator==(body_chunk const&) const = default;
+};
+
+/// Gives the other side credit for more body bytes.
+struct window
+{
+  stream_id mStream;
+  std::uint32_t mBytes = 0;
+
+  bool operator==(window const&) const = default;
+};
+
+struct answer_head
+{
+  stream_id mStream;
+  std::uint32_t mAttempt = 0;
+  std::uint32_t mStatus = 0;
+  std::vector<header_field> mHeaders;
+  std::optional<std::uint64_t> mContentLength;
+  bool mHasBody = false;
+  traffic::load_stamp mStamp;
+
+  bool operator==(answer_head const&) const = default;
+};
+
+struct answer_chunk
+{
+  stream_id mStream;
+  std::uint32_t mAttempt = 0;
+  std::string mBytes;
+  bool mLast = false;
+
+  bool operator==(answer_chunk const&) const = default;
+};
+
+/// Ends a stream whose answer nobody waits for.
+struct cancel
+{
+  stream_id mStream;
+
+  bool operator==(cancel const&) const = default;
+};
+
+/// Ends a stream without a complete answer.
+struct refusal
+{
+  stream_id mStream;
+  std::uint32_t mAttempt = 0;
+  traffic::outcome mOutcome = traffic::outcome::kUnknown;
+  core::refusal_reason mReason = core::refusal_reason::kInternal;
+  core::duration mRetryAfter{};
+  traffic::load_stamp mStamp;
+
+  bool operator==(refusal const&) const = default;
+};
+
+/// Decisions that traffic modules exchange; mTopic selects the module.
+enum class traffic_topic : std::uint8_t
+{
+  kRetryPermits,
+  kClaims,
+  kQuarantine,
+};
+
+struct traffic_message
+{
+  traffic_topic mTopic = traffic_topic::kRetryPermits;
+  std::string mPayload;
+
+  bool operator==(traffic_message const&) const = default;
+};
+
+/// Carries a message of the control thread.
+struct control_frame
+{
+  std::string mEnvelope;
+
+  bool operator==(control_frame const&) const = default;
+};
+
+using call_frame = std::variant<hello,
+                                call_head,
+                                body_chunk,
+                                window,
+                                answer_head,
+                                answer_chunk,
+                                cancel,
+                                refusal,
+                                traffic_message,
+                                control_frame>;
+
+std::string
+EncodeCallFrame(call_frame const& aFrame);
+
+/// Fails with kMalformed.
+core::result<call_frame>
+DecodeCallFrame(std::string_view aBytes);
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/CallLink.cpp
@@ -0,0 +1,235 @@
+#include "LibDaemon/CallLink.h"
+
+#include "LibCore/Log.h"
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::duration kConnectTimeout = 1s;
+
+/// Returns the stream that a frame from the accepting side belongs to.
+struct stream_of_frame
+{
+  template<class Frame>
+  stream_id operator()(Frame const& aFrame) const
+  {
+    if constexpr (requires { aFrame.mStream; }) {
+      return aFrame.mStream;
+    } else {
+      return {};
+    }
+  }
+};
+
+/// Returns the attempt that a frame belongs to; frames without one match any.
+struct attempt_of_frame
+{
+  std::uint32_t mDefault;
+
+  template<class Frame>
+  std::uint32_t operator()(Frame const& aFrame) const
+  {
+    if constexpr (requires { aFrame.mAttempt; }) {
+      return aFrame.mAttempt;
+    } else {
+      return mDefault;
+    }
+  }
+};
+
+}
+
+call_link::call_link(asio::any_io_executor aExecutor,
+                     hello aHello,
+                     core::address aPeer,
+                     metrics& aMetrics)
+  : mExecutor(std::move(aExecutor))
+  , mHello(std::move(aHello))
+  , mPeer(std::move(aPeer))
+  , mMetrics(aMetrics)
+{
+}
+
+std::shared_ptr<outgoing_stream>
+call_link::Open(call_head aHead, std::function<void()> aNotify)
+{
+  auto stream = std::make_shared<outgoing_stream>();
+  stream->mId = { ++mLastStream };
+  stream->mAttempt = aHead.mAttempt;
+  stream->mNotify = std::move(aNotify);
+  mStreams[stream->mId] = stream;
+  aHead.mStream = stream->mId;
+  Send(aHead);
+  return stream;
+}
+
+void
+call_link::Send(call_frame const& aFrame)
+{
+  if (mChannel && mChannel->IsOpen()) {
+    mChannel->Send(aFrame);
+    return;
+  }
+  mWaiting.push_back(aFrame);
+  Connect();
+}
+
+void
+call_link::Release(stream_id aStream)
+{
+  mStreams.erase(aStream);
+}
+
+void
+call_link::Close()
+{
+  mIsClosed = true;
+  if (mChannel) {
+    mChannel->Close();
+  }
+}
+
+void
+call_link::Connect()
+{
+  if (mIsConnecting || mIsClosed) {
+    return;
+  }
+  mIsConnecting = true;
+  asio::co_spawn(
+    mExecutor,
+    [self = shared_from_this()] { return self->Run(); },
+    asio::detached);
+}
+
+task<void>
+call_link::Run()
+{
+  bool const isOpen = co_await OpenSocket();
+  mIsConnecting = false;
+  if (!isOpen) {
+    mWaiting.clear();
+    EndStreams(traffic::outcome::kNotRun, core::refusal_reason::kConnectFailed);
+    co_return;
+  }
+  mChannel->Send(mHello);
+  for (auto const& frame : mWaiting) {
+    mChannel->Send(frame);
+  }
+  mWaiting.clear();
+  co_await ReceiveFrames();
+}
+
+task<bool>
+call_link::OpenSocket()
+{
+  auto const endpoint = ToEndpoint<tcp>(mPeer);
+  if (!endpoint) {
+    co_return false;
+  }
+  auto socket = std::make_shared<tcp::socket>(mExecutor);
+  asio::steady_timer deadline(mExecutor, kConnectTimeout);
+  deadline.async_wait([socket](boost::system::error_code aCode) {
+    boost::system::error_code ignored;
+    if (!aCode) {
+      socket->close(ignored);
+    }
+  });
+  auto const [code] = co_await socket->async_connect(*endpoint, kAsTuple);
+  deadline.cancel();
+  if (code || !socket->is_open()) {
+    core::LogWarning("connect_failed")
+      .Field("peer", core::FormatAddress(mPeer))
+      .Field("error", code.message());
+    co_return false;
+  }
+  mChannel = std::make_shared<frame_channel>(std::move(*socket),
+                                             wire::kMaximumCallFrameBytes);
+  co_return true;
+}
+
+task<void>
+call_link::ReceiveFrames()
+{
+  auto const channel = mChannel;
+  for (;;) {
+    auto frame = co_await channel->Receive();
+    if (!frame) {
+      if (frame.mError.mCode != core::error_code::kClosed) {
+        mMetrics.CountRefusal(refusal_place::kListener,
+                              core::refusal_reason::kMalformed);
+      }
+      channel->Close();
+      break;
+    }
+    Dispatch(std::move(*frame));
+  }
+  // The peer may have started any of them.
+  EndStreams(traffic::outcome::kUnknown, core::refusal_reason::kPeerLost);
+}
+
+void
+call_link::Dispatch(call_frame aFrame)
+{
+  auto const found = mStreams.find(std::visit(stream_of_frame{}, aFrame));
+  if (found == mStreams.end()) {
+    mMetrics.CountLateFrame();
+    return;
+  }
+  auto& stream = *found->second;
+  if (std::visit(attempt_of_frame{ stream.mAttempt }, aFrame) !=
+      stream.mAttempt) {
+    mMetrics.CountLateFrame();
+    return;
+  }
+  if (auto const* const credit = std::get_if<window>(&aFrame)) {
+    stream.mCredit += credit->mBytes;
+  } else {
+    stream.mEvents.push_back(std::move(aFrame));
+  }
+  stream.mNotify();
+}
+
+void
+call_link::EndStreams(traffic::outcome aOutcome, core::refusal_reason aReason)
+{
+  auto const streams = std::move(mStreams);
+  mStreams.clear();
+  for (auto const& [id, stream] : streams) {
+    stream->mEvents.emplace_back(
+      refusal{ id, stream->mAttempt, aOutcome, aReason });
+    stream->mNotify();
+  }
+}
+
+link_pool::link_pool(asio::any_io_executor aExecutor,
+                     hello aHello,
+                     metrics& aMetrics)
+  : mExecutor(std::move(aExecutor))
+  , mHello(std::move(aHello))
+  , mMetrics(aMetrics)
+{
+}
+
+call_link&
+link_pool::To(core::address const& aPeer)
+{
+  auto& link = mLinks[aPeer];
+  if (!link) {
+    link = std::make_shared<call_link>(mExecutor, mHello, aPeer, mMetrics);
+  }
+  return *link;
+}
+
+void
+link_pool::CloseAll()
+{
+  for (auto const& [peer, link] : mLinks) {
+    link->Close();
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/CallLink.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "LibDaemon/FrameChannel.h"
+#include "LibDaemon/Metrics.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberryfold::daemon {
+
+/// The sending side of one call. Events are frames from the peer; a lost
+/// connection appears as a refusal.
+struct outgoing_stream
+{
+  stream_id mId;
+  std::uint32_t mAttempt = 0;
+  std::deque<call_frame> mEvents;
+  /// Bytes of body that the peer accepts now.
+  std::uint64_t mCredit = kInitialCreditBytes;
+  /// Wakes the coroutine that runs the call.
+  std::function<void()> mNotify;
+};
+
+/// Connection to the daemon of one peer, made on first use and again after it
+/// broke. Carries many calls at once. Used by one thread only.
+class call_link : public std::enable_shared_from_this<call_link>
+{
+public:
+  call_link(asio::any_io_executor aExecutor,
+            hello aHello,
+            core::address aPeer,
+            metrics& aMetrics);
+
+  /// Opens a stream for aHead; its stream id is filled in.
+  std::shared_ptr<outgoing_stream> Open(call_head aHead,
+                                        std::function<void()> aNotify);
+  void Send(call_frame const& aFrame);
+  /// Forgets a stream; frames that still arrive for it are counted as late.
+  void Release(stream_id aStream);
+  void Close();
+
+private:
+  void Connect();
+  task<void> Run();
+  task<bool> OpenSocket();
+  task<void> ReceiveFrames();
+  void Dispatch(call_frame aFrame);
+  void EndStreams(traffic::outcome aOutcome, core::refusal_reason aReason);
+
+  asio::any_io_executor mExecutor;
+  hello mHello;
+  core::address mPeer;
+  metrics& mMetrics;
+  std::shared_ptr<frame_channel> mChannel;
+  /// Frames that wait for the connection.
+  std::vector<call_frame> mWaiting;
+  bool mIsConnecting = false;
+  bool mIsClosed = false;
+  std::unordered_map<stream_id, std::shared_ptr<outgoing_stream>> mStreams;
+  std::uint64_t mLastStream = 0;
+};
+
+/// The links of one thread, by peer address.
+class link_pool
+{
+public:
+  link_pool(asio::any_io_executor aExecutor, hello aHello, metrics& aMetrics);
+
+  call_link& To(core::address const& aPeer);
+  void CloseAll();
+
+private:
+  asio::any_io_executor mExecutor;
+  hello mHello;
+  metrics& mMetrics;
+  std::map<core::address, std::shared_ptr<call_link>> mLinks;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -0,0 +1,272 @@
+#include "LibDaemon/CallRunner.h"
+
+#include <algorithm>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+using core::refusal_reason;
+using core::retry_reason;
+using traffic::outcome;
+
+/// Covers a round trip between regions; without an answer there is no retry.
+constexpr core::duration kPermitTimeout = std::chrono::milliseconds(200);
+
+}
+
+call_runner::call_runner(outgoing_services& aServices,
+                         routed_request aRequest,
+                         answer_sink aSink)
+  : mServices(aServices)
+  , mRequest(std::move(aRequest))
+  , mSink(std::move(aSink))
+  , mSignal(aServices.mExecutor)
+{
+}
+
+void
+call_runner::Abandon()
+{
+  mIsAbandoned = true;
+  mSignal.Notify();
+}
+
+task<call_result>
+call_runner::Run()
+{
+  bool mayHaveRun = false;
+  for (;;) {
+    auto choice = mServices.mPolicy.Choose(
+      Now(), mRequest.mContext, mRequest.mRoute.mPool, mTried);
+    call_result result;
+    if (auto const* const refused = std::get_if<call_refusal>(&choice)) {
+      result.mRefusal = *refused;
+      mServices.mMetrics.CountRefusal(refusal_place::kSender, refused->mReason);
+    } else {
+      auto const chosen = std::get<traffic::chosen_upstream>(choice);
+      result = co_await Attempt(chosen);
+    }
+    if (result.mHasAnswer) {
+      co_return result;
+    }
+    mayHaveRun = mayHaveRun || result.mRefusal.mOutcome != outcome::kNotRun;
+    if (!co_await MayRetry(result.mRefusal)) {
+      // An earlier attempt counts: "not run" must hold for all of them.
+      if (mayHaveRun) {
+        result.mRefusal.mOutcome = outcome::kUnknown;
+      }
+      co_return result;
+    }
+  }
+}
+
+task<bool>
+call_runner::MayRetry(call_refusal const& aRefusal)
+{
+  bool const canSendAgain =
+    !mIsAbandoned && mBody.CanReplay() && !mBody.IsBroken() && mAttempts > 0;
+  if (!canSendAgain) {
+    co_return false;
+  }
+  traffic::retry_facts facts;
+  facts.mOutcome = aRefusal.mOutcome;
+  facts.mIdempotent = mRequest.mRoute.mIdempotent;
+  facts.mTimedOut = aRefusal.mReason == refusal_reason::kDeadlineExceeded;
+  facts.mAttempts = mAttempts;
+  facts.mTimeLeft = mRequest.mContext.mDeadline - Now();
+  auto const decision =
+    mServices.mPolicy.DecideRetry(mRequest.mRoute.mPool, facts);
+  if (!decision) {
+    co_return false;
+  }
+  if (!decision->mBackoff) {
+    mServices.mMetrics.CountRetry(decision->mReason);
+    co_return false;
+  }
+  if (!co_await ObtainPermit()) {
+    mServices.mMetrics.CountRetry(retry_reason::kRefusedNoPermit);
+    co_return false;
+  }
+  mServices.mMetrics.CountRetry(decision->mReason);
+  asio::steady_timer backoff(mServices.mExecutor, *decision->mBackoff);
+  co_await backoff.async_wait(kAsTuple);
+  mBody.Rewind();
+  co_return !mIsAbandoned;
+}
+
+task<bool>
+call_runner::ObtainPermit()
+{
+  auto const& context = mRequest.mContext;
+  if (context.mRootDaemon == mServices.mSettings.mPeerAddress) {
+    co_return mServices.mPolicy.TakePermit(Now(), context.mRequest);
+  }
+  co_return co_await AskRootForPermit();
+}
+
+task<bool>
+call_runner::AskRootForPermit()
+{
+  auto const answer = std::make_shared<std::optional<bool>>();
+  auto const onAnswer = [answer, self = shared_from_this()](bool aIsGranted) {
+    asio::post(self->mServices.mExecutor, [answer, self, aIsGranted] {
+      *answer = aIsGranted;
+      self->Notify();
+    });
+  };
+  auto const id = mServices.mPermits.Register(onAnswer);
+  auto const& context = mRequest.mContext;
+  auto payload = EncodePermitMessage(permit_request{ id, context.mRequest });
+  mServices.mLinks.To(context.mRootDaemon)
+    .Send(traffic_message{ traffic_topic::kRetryPermits, std::move(payload) });
+  auto const until = std::min(Now() + kPermitTimeout, context.mDeadline);
+  while (!answer->has_value() && Now() < until && !mIsAbandoned) {
+    co_await mSignal.Wait(until);
+  }
+  mServices.mPermits.Forget(id);
+  co_return answer->value_or(false);
+}
+
+call_head
+call_runner::MakeHead() const
+{
+  call_head head;
+  head.mAttempt = mAttempts;
+  head.mContext = mRequest.mContext;
+  head.mTimeLeft = mRequest.mContext.mDeadline - Now();
+  head.mPool = mRequest.mRoute.mPool;
+  head.mMethod = mRequest.mMethod;
+  head.mTarget = mRequest.mTarget;
+  head.mHeaders = mRequest.mHeaders;
+  head.mContentLength = mRequest.mContentLength;
+  head.mHasBody = mRequest.mHasBody;
+  return head;
+}
+
+task<call_result>
+call_runner::Attempt(traffic::chosen_upstream const& aChosen)
+{
+  ++mAttempts;
+  mTried.push_back(aChosen.mInstance);
+  mBodyEndSent = !mRequest.mHasBody;
+  mLastStamp.reset();
+  mAttemptBytes = 0;
+  auto const started = Now();
+  auto& link = mServices.mLinks.To(aChosen.mPeerAddress);
+  auto const stream = link.Open(MakeHead(), [weak = weak_from_this()] {
+    if (auto const self = weak.lock()) {
+      self->Notify();
+    }
+  });
+  auto result = co_await FollowStream(aChosen, link, stream);
+  link.Release(stream->mId);
+  if (!result.mIsComplete) {
+    link.Send(cancel{ stream->mId });
+  }
+  auto const outcomeOfAttempt =
+    result.mIsComplete ? outcome::kRan : result.mRefusal.mOutcome;
+  mServices.mMetrics.CountAttempt(outcomeOfAttempt);
+  traffic::attempt_report report;
+  report.mInstance = aChosen.mInstance;
+  report.mOutcome = outcomeOfAttempt;
+  if (!result.mIsComplete) {
+    report.mReason = result.mRefusal.mReason;
+  }
+  report.mLatency = Now() - started;
+  report.mStamp = mLastStamp;
+  report.mBytes = mAttemptBytes;
+  mServices.mPolicy.Report(Now(), mRequest.mRoute.mPool, report);
+  co_return result;
+}
+
+call_result
+call_runner::Stopped(refusal_reason aReason, bool aHasAnswer) const
+{
+  return { aHasAnswer, false, { outcome::kUnknown, aReason, {} } };
+}
+
+task<call_result>
+call_runner::FollowStream(traffic::chosen_upstream const& aChosen,
+                          call_link& aLink,
+                          std::shared_ptr<outgoing_stream> aStream)
+{
+  bool hasAnswer = false;
+  for (;;) {
+    if (mIsAbandoned || mBody.IsBroken()) {
+      co_return Stopped(refusal_reason::kBadRequest, hasAnswer);
+    }
+    if (Now() >= mRequest.mContext.mDeadline) {
+      co_return Stopped(refusal_reason::kDeadlineExceeded, hasAnswer);
+    }
+    SendBody(aLink, *aStream);
+    if (aStream->mEvents.empty()) {
+      co_await mSignal.Wait(mRequest.mContext.mDeadline);
+      continue;
+    }
+    auto const event = std::move(aStream->mEvents.front());
+    aStream->mEvents.pop_front();
+    if (auto const* const refused = std::get_if<refusal>(&event)) {
+      mLastStamp = refused->mStamp;
+      co_return call_result{
+        hasAnswer,
+        false,
+        { refused->mOutcome, refused->mReason, refused->mRetryAfter }
+      };
+    }
+    if (auto const* const head = std::get_if<answer_head>(&event)) {
+      hasAnswer = true;
+      mLastStamp = head->mStamp;
+      if (!co_await mSink.mWriteHead(*head, aChosen.mInstance)) {
+        co_return Stopped(refusal_reason::kBadRequest, true);
+      }
+      if (!head->mHasBody) {
+        co_return call_result{ true, true, {} };
+      }
+    } else if (auto const* const chunk = std::get_if<answer_chunk>(&event)) {
+      if (!co_await ForwardChunk(aLink, *aStream, *chunk)) {
+        co_return Stopped(refusal_reason::kBadRequest, true);
+      }
+      if (chunk->mLast) {
+        co_return call_result{ true, true, {} };
+      }
+    }
+  }
+}
+
+task<bool>
+call_runner::ForwardChunk(call_link& aLink,
+                          outgoing_stream const& aStream,
+                          answer_chunk const& aChunk)
+{
+  bool const isWritten =
+    co_await mSink.mWriteChunk(aChunk.mBytes, aChunk.mLast);
+  auto const size = static_cast<std::uint32_t>(aChunk.mBytes.size());
+  mAttemptBytes += size;
+  if (isWritten && size > 0) {
+    aLink.Send(window{ aStream.mId, size });
+  }
+  co_return isWritten;
+}
+
+void
+call_runner::SendBody(call_link& aLink, outgoing_stream& aStream)
+{
+  while (!mBodyEndSent && aStream.mCredit > 0) {
+    auto bytes =
+      mBody.Take(std::min<std::uint64_t>(aStream.mCredit, kMaximumChunkBytes));
+    bool const isLast = mBody.IsTaken();
+    if (bytes.empty() && !isLast) {
+      return;
+    }
+    aStream.mCredit -= bytes.size();
+    mAttemptBytes += bytes.size();
+    if (mOnBodyTaken) {
+      mOnBodyTaken();
+    }
+    mBodyEndSent = isLast;
+    aLink.Send(body_chunk{ aStream.mId, mAttempts, std::move(bytes), isLast });
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "LibDaemon/CallLink.h"
+#include "LibDaemon/RequestBody.h"
+#include "LibDaemon/RetryPermits.h"
+#include "LibDaemon/TrafficPolicy.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <string>
+#include <vector>
+
+namespace cranberryfold::daemon {
+
+/// What all outgoing calls of one traffic thread use.
+struct outgoing_services
+{
+  asio::any_io_executor mExecutor;
+  daemon_settings const& mSettings;
+  traffic_policy& mPolicy;
+  metrics& mMetrics;
+  link_pool& mLinks;
+  permit_exchange& mPermits;
+};
+
+/// A request from a caller or from the own upstream, ready to be routed.
+struct routed_request
+{
+  traffic::call_context mContext;
+  tables::route mRoute;
+  std::string mMethod;
+  std::string mTarget;
+  std::vector<header_field> mHeaders;
+  std::optional<std::uint64_t> mContentLength;
+  bool mHasBody = false;
+};
+
+/// Where the answer goes. Both return false when the receiver is gone.
+struct answer_sink
+{
+  std::function<task<bool>(answer_head const&, core::instance_id const&)>
+    mWriteHead;
+  std::function<task<bool>(std::string_view, bool)> mWriteChunk;
+};
+
+/// How a routed request ended.
+struct call_result
+{
+  /// The head of an answer went to the sink.
+  bool mHasAnswer = false;
+  /// The whole answer went to the sink.
+  bool mIsComplete = false;
+  /// Why there is no whole answer.
+  call_refusal mRefusal;
+};
+
+/// Carries one request to upstreams: choice, attempts, retries, streaming.
+class call_runner : public std::enable_shared_from_this<call_runner>
+{
+public:
+  call_runner(outgoing_services& aServices,
+              routed_request aRequest,
+              answer_sink aSink);
+
+  task<call_result> Run();
+
+  /// The body of the request; call Notify() after each change.
+  request_body& Body() { return mBody; }
+  void Notify() { mSignal.Notify(); }
+  /// Sets what runs after bytes of the body were taken, which makes room.
+  void SetBodyTakenHook(std::function<void()> aHook)
+  {
+    mOnBodyTaken = std::move(aHook);
+  }
+  /// Stops the call since nobody waits for its answer.
+  void Abandon();
+
+private:
+  task<call_result> Attempt(traffic::chosen_upstream const& aChosen);
+  task<call_result> FollowStream(traffic::chosen_upstream const& aChosen,
+                                 call_link& aLink,
+                                 std::shared_ptr<outgoing_stream> aStream);
+  task<bool> ForwardChunk(call_link& aLink,
+                          outgoing_stream const& aStream,
+                          answer_chunk const& aChunk);
+  task<bool> MayRetry(call_refusal const& aRefusal);
+  task<bool> ObtainPermit();
+  task<bool> AskRootForPermit();
+  void SendBody(call_link& aLink, outgoing_stream& aStream);
+  call_head MakeHead() const;
+  call_result Stopped(core::refusal_reason aReason, bool aHasAnswer) const;
+
+  outgoing_services& mServices;
+  routed_request mRequest;
+  answer_sink mSink;
+  signal mSignal;
+  request_body mBody;
+  std::function<void()> mOnBodyTaken;
+  std::vector<core::instance_id> mTried;
+  std::uint32_t mAttempts = 0;
+  bool mIsAbandoned = false;
+  bool mBodyEndSent = false;
+  std::optional<traffic::load_stamp> mLastStamp;
+  std::uint64_t mAttemptBytes = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -0,0 +1,305 @@
+#include "LibDaemon/ControlPlane.h"
+
+#include "LibControl/Codec.h"
+#include "LibCore/Hash.h"
+#include "LibCore/Log.h"
+#include "LibMembership/Codec.h"
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::duration kViewCheckInterval = 1s;
+
+/// Start time of the process, by which later lives have higher incarnations.
+core::incarnation
+StartIncarnation()
+{
+  static auto const start = std::chrono::system_clock::now();
+  return { static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      start.time_since_epoch())
+      .count()) };
+}
+
+membership::announcement
+OwnAnnouncement(daemon_settings const& aSettings)
+{
+  membership::announcement own;
+  own.mInstance = aSettings.mInstance;
+  own.mIncarnation = StartIncarnation();
+  own.mZone = aSettings.mZone;
+  own.mRegion = aSettings.mRegion;
+  own.mPeerAddress = aSettings.mPeerAddress;
+  own.mAdminAddress = aSettings.mAdminAddress;
+  own.mService = aSettings.mUpstream.mService;
+  own.mSlots = aSettings.mUpstream.mSlots;
+  own.mConnections = aSettings.mUpstream.mConnections;
+  own.mControlReplica = aSettings.mControl.has_value();
+  return own;
+}
+
+membership::directory_settings
+DirectorySettings(daemon_settings const& aSettings)
+{
+  membership::directory_settings settings;
+  settings.mOwn = OwnAnnouncement(aSettings);
+  settings.mSeeds = aSettings.mSeeds;
+  return settings;
+}
+
+membership::distributor_settings
+DistributorSettings(daemon_settings const& aSettings)
+{
+  membership::distributor_settings settings;
+  settings.mOwn = { aSettings.mInstance, aSettings.mPeerAddress };
+  return settings;
+}
+
+hello
+ControlHello(daemon_settings const& aSettings)
+{
+  return { kProtocolVersion,
+           connection_kind::kControl,
+           aSettings.mInstance,
+           aSettings.mRegion,
+           aSettings.mPeerAddress };
+}
+
+core::random_source
+Seeded(daemon_settings const& aSettings, std::uint64_t aSalt)
+{
+  return core::random_source(core::Hash64(
+    aSettings.mInstance.mValue, StartIncarnation().mValue + aSalt));
+}
+
+routing_member
+ToRoutingMember(membership::member const& aMember)
+{
+  auto const& told = aMember.mAnnouncement;
+  bool const isGone = aMember.mState == membership::member_state::kDead ||
+                      aMember.mState == membership::member_state::kLeft;
+  routing_member member;
+  member.mInstance = told.mInstance;
+  member.mZone = told.mZone;
+  member.mRegion = told.mRegion;
+  member.mService = told.mService;
+  member.mPeerAddress = told.mPeerAddress;
+  member.mSlots = told.mSlots;
+  member.mIncarnation = told.mIncarnation;
+  member.mIsServing =
+    !isGone && told.mLifecycle == membership::lifecycle_state::kServing;
+  member.mIsDraining =
+    !isGone && told.mLifecycle == membership::lifecycle_state::kDraining;
+  member.mIsDoubtful = aMember.mState != membership::member_state::kAlive;
+  return member;
+}
+
+}
+
+control_plane::control_plane(asio::io_context& aContext,
+                             daemon_settings const& aSettings,
+                             metrics& aMetrics,
+                             view_function aOnView)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mMetrics(aMetrics)
+  , mOnView(std::move(aOnView))
+  , mTimer(aContext)
+  , mTransport(aContext.get_executor(),
+               ControlHello(aSettings),
+               aMetrics,
+               [this](control_envelope aEnvelope) {
+                 OnEnvelope(std::move(aEnvelope));
+               })
+  , mDirectory(DirectorySettings(aSettings), Seeded(aSettings, 1))
+  , mDistributor(DistributorSettings(aSettings), Seeded(aSettings, 2))
+{
+}
+
+core::result<void>
+control_plane::Start(bool aBootstrap)
+{
+  BOOST_LEAF_CHECK(mTransport.Open(mSettings.mPeerAddress));
+  if (mSettings.mControl) {
+    replica_host::hooks hooks{
+      [this](core::instance_id const& aTo, control::message const& aMessage) {
+        SendToReplica(aTo, aMessage);
+      },
+      [this](control::tables_committed const& aCommitted, bool aIsLeader) {
+        HandleDistributor(membership::tables_committed{
+          aCommitted.mRevision,
+          std::make_shared<tables::table_set const>(aCommitted.mTables),
+          aIsLeader });
+      }
+    };
+    mReplica =
+      std::make_unique<replica_host>(mContext, mSettings, std::move(hooks));
+    BOOST_LEAF_CHECK(mReplica->Start(aBootstrap));
+    mTimers.Every(Now(), control::kTickInterval, [this](core::time_point) {
+      mReplica->Tick();
+    });
+  }
+  mTimers.Every(Now(), membership::kTickInterval, [this](core::time_point) {
+    HandleDirectory(membership::tick{});
+    HandleDistributor(membership::tick{});
+  });
+  mTimers.Every(Now(), kViewCheckInterval, [this](core::time_point) {
+    mMetrics.SetGauge("revision",
+                      static_cast<double>(mDistributor.Revision().mValue));
+    mMetrics.SetGauge("members",
+                      static_cast<double>(mDirectory.Members().size()));
+  });
+  asio::co_spawn(
+    mContext, [this] { return RunTimers(); }, asio::detached);
+  return {};
+}
+
+void
+control_plane::Stop()
+{
+  mIsStopped = true;
+  mTimer.cancel();
+  mTransport.Close();
+}
+
+task<void>
+control_plane::RunTimers()
+{
+  while (!mIsStopped) {
+    mTimers.Advance(Now());
+    auto const due = mTimers.NextDue().value_or(Now() + kViewCheckInterval);
+    mTimer.expires_at(ToSteadyClock(due));
+    co_await mTimer.async_wait(kAsTuple);
+  }
+}
+
+void
+control_plane::OnStreamEnvelope(std::string_view aBytes)
+{
+  mTransport.OnStreamBytes(aBytes);
+}
+
+void
+control_plane::OnEnvelope(control_envelope aEnvelope)
+{
+  if (mIsStopped) {
+    return;
+  }
+  if (aEnvelope.mTopic == control_topic::kReplica) {
+    auto message = core::Attempt(
+      [&] { return control::DecodeMessage(aEnvelope.mPayload); });
+    if (message && mReplica) {
+      mReplica->OnMessage(std::move(*message));
+    }
+    return;
+  }
+  auto const message = core::Attempt(
+    [&] { return membership::DecodeMessage(aEnvelope.mPayload); });
+  if (!message) {
+    mMetrics.CountRefusal(refusal_place::kListener,
+                          core::refusal_reason::kMalformed);
+    return;
+  }
+  using member_news = membership::addressed<membership::member_message>;
+  using table_news =
+    membership::addressed<membership::configuration_message>;
+  if (auto const* const news = std::get_if<member_news>(&*message)) {
+    HandleDirectory(membership::member_message_received{ *news });
+  } else {
+    HandleDistributor(membership::configuration_message_received{
+      std::get<table_news>(*message) });
+  }
+}
+
+void
+control_plane::HandleDirectory(membership::directory_event const& aEvent)
+{
+  for (auto const& action : mDirectory.Handle(Now(), aEvent)) {
+    if (auto const* const send =
+          std::get_if<membership::send_message>(&action)) {
+      Send(*send);
+      continue;
+    }
+    PublishView();
+    HandleDistributor(membership::peers_changed{ mDirectory.Peers() });
+  }
+}
+
+void
+control_plane::HandleDistributor(membership::distributor_event const& aEvent)
+{
+  for (auto const& action : mDistributor.Handle(Now(), aEvent)) {
+    if (auto const* const send =
+          std::get_if<membership::send_message>(&action)) {
+      Send(*send);
+      continue;
+    }
+    auto const& installed = std::get<membership::tables_installed>(action);
+    core::LogInfo("tables_installed")
+      .Field("revision", static_cast<std::int64_t>(installed.mRevision.mValue));
+    PublishView();
+  }
+}
+
+void
+control_plane::Send(membership::send_message const& aAction)
+{
+  control_envelope const envelope{
+    control_topic::kMembership, membership::EncodeMessage(aAction.mMessage)
+  };
+  if (aAction.mPreference == membership::transport_preference::kDatagram) {
+    mTransport.SendDatagram(aAction.mTo, envelope);
+  } else {
+    mTransport.SendStream(aAction.mTo, envelope);
+  }
+}
+
+void
+control_plane::SendToReplica(core::instance_id const& aTo,
+                             control::message const& aMessage)
+{
+  auto const address = mReplica->AddressOf(aTo);
+  if (address) {
+    mTransport.SendStream(
+      *address,
+      { control_topic::kReplica, control::EncodeMessage(aMessage) });
+  }
+}
+
+void
+control_plane::SetLifecycle(membership::lifecycle_state aState)
+{
+  HandleDirectory(membership::own_state_changed{ aState });
+}
+
+void
+control_plane::NoteSenders(std::vector<core::address> aSenders)
+{
+  HandleDirectory(membership::work_received{ std::move(aSenders) });
+}
+
+std::vector<membership::member>
+control_plane::Members() const
+{
+  return mDirectory.Members();
+}
+
+void
+control_plane::PublishView()
+{
+  auto view = std::make_shared<routing_view>();
+  view->mRevision = mDistributor.Revision();
+  view->mContentHash = mDistributor.Hash();
+  if (auto const tables = mDistributor.Tables()) {
+    view->mTables = *tables;
+  }
+  for (auto const& member : mDirectory.Members()) {
+    view->mMembers.push_back(ToRoutingMember(member));
+  }
+  mOnView(std::move(view));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "LibCore/TimerService.h"
+#include "LibDaemon/ControlTransport.h"
+#include "LibDaemon/ReplicaHost.h"
+#include "LibDaemon/RoutingView.h"
+#include "LibMembership/ConfigurationDistributor.h"
+#include "LibMembership/MemberDirectory.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace cranberryfold::daemon {
+
+/// Everything that runs on the control thread: membership, dissemination of
+/// the tables and, on a control replica, consensus. All calls come from the
+/// control thread.
+class control_plane
+{
+public:
+  /// Called with each new view of tables and members.
+  using view_function =
+    std::function<void(std::shared_ptr<routing_view const>)>;
+
+  control_plane(asio::io_context& aContext,
+                daemon_settings const& aSettings,
+                metrics& aMetrics,
+                view_function aOnView);
+
+  /// Opens sockets and journal. Fails with kUnreachable, kStorage or
+  /// kInvalidInput.
+  core::result<void> Start(bool aBootstrap);
+  void Stop();
+
+  /// Takes an envelope that came by TCP.
+  void OnStreamEnvelope(std::string_view aBytes);
+  void SetLifecycle(membership::lifecycle_state aState);
+  /// Peers that sent work lately; a drain is pushed to them.
+  void NoteSenders(std::vector<core::address> aSenders);
+
+  std::vector<membership::member> Members() const;
+  membership::configuration_distributor const& Configuration() const
+  {
+    return mDistributor;
+  }
+  bool HasJoined() const { return mDirectory.HasJoined(); }
+  /// Null unless the daemon is a control replica.
+  replica_host* Replica() { return mReplica.get(); }
+  core::timer_service& Timers() { return mTimers; }
+
+private:
+  task<void> RunTimers();
+  void OnEnvelope(control_envelope aEnvelope);
+  void HandleDirectory(membership::directory_event const& aEvent);
+  void HandleDistributor(membership::distributor_event const& aEvent);
+  void Send(membership::send_message const& aAction);
+  void SendToReplica(core::instance_id const& aTo,
+                     control::message const& aMessage);
+  void PublishView();
+
+  asio::io_context& mContext;
+  daemon_settings const& mSettings;
+  metrics& mMetrics;
+  view_function mOnView;
+  core::timer_service mTimers;
+  asio::steady_timer mTimer;
+  control_transport mTransport;
+  membership::member_directory mDirectory;
+  membership::configuration_distributor mDistributor;
+  std::unique_ptr<replica_host> mReplica;
+  bool mIsStopped = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/ControlTransport.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "LibDaemon/CallLink.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+/// Messages between control threads: small ones as datagrams, others as frames
+/// on TCP connections.
+namespace cranberryfold::daemon {
+
+enum class control_topic : std::uint8_t
+{
+  kMembership,
+  kReplica,
+};
+
+struct control_envelope
+{
+  control_topic mTopic = control_topic::kMembership;
+  std::string mPayload;
+
+  bool operator==(control_envelope const&) const = default;
+};
+
+std::string
+EncodeEnvelope(control_envelope const& aEnvelope);
+
+/// Fails with kMalformed.
+core::result<control_envelope>
+DecodeEnvelope(std::string_view aBytes);
+
+/// Sends and receives envelopes. Runs on the control thread; delivery is not
+/// guaranteed, as the decision objects expect.
+class control_transport
+{
+public:
+  using receive_function = std::function<void(control_envelope)>;
+
+  control_transport(asio::any_io_executor aExecutor,
+                    hello aHello,
+                    metrics& aMetrics,
+                    receive_function aOnReceive);
+
+  /// Opens the UDP socket. Fails with kUnreachable.
+  core::result<void> Open(core::address const& aAddress);
+  void SendDatagram(core::address const& aTo,
+                    control_envelope const& aEnvelope);
+  void SendStream(core::address const& aTo, control_envelope const& aEnvelope);
+  /// Takes an envelope that came by TCP.
+  void OnStreamBytes(std::string_view aBytes);
+  void Close();
+
+private:
+  task<void> ReceiveDatagrams();
+  void Decode(std::string_view aBytes);
+
+  static constexpr std::size_t kReceiveBytes = 64UL * 1024UL;
+
+  asio::any_io_executor mExecutor;
+  metrics& mMetrics;
+  udp::socket mSocket;
+  link_pool mLinks;
+  receive_function mOnReceive;
+  std::array<char, kReceiveBytes> mBuffer{};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -0,0 +1,326 @@
+#include "LibDaemon/Daemon.h"
+
+#include "LibCore/Hash.h"
+#include "LibCore/Log.h"
+
+#include <csignal>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kHealthInterval = 250ms;
+constexpr core::duration kAdmissionTick = 10ms;
+constexpr core::duration kSenderInterval = 1s;
+/// Time for the drain announcement to reach senders before an idle daemon
+/// leaves.
+constexpr core::duration kLeastDrainTime = 1s;
+constexpr auto kIdleCheckInterval = 20ms;
+/// Time for the last announcement and responses to leave the process.
+constexpr auto kFarewellTime = 100ms;
+constexpr unsigned kHealthy = 200;
+
+std::uint64_t
+SeedFor(daemon_settings const& aSettings)
+{
+  return core::Hash64(
+    aSettings.mInstance.mValue,
+    static_cast<std::uint64_t>(Now().time_since_epoch().count()));
+}
+
+membership::lifecycle_state
+ToLifecycle(std::string const& aState)
+{
+  for (auto const state : { membership::lifecycle_state::kStarting,
+                            membership::lifecycle_state::kServing,
+                            membership::lifecycle_state::kDraining,
+                            membership::lifecycle_state::kLeft }) {
+    if (membership::LifecycleStateName(state) == aState) {
+      return state;
+    }
+  }
+  return membership::lifecycle_state::kStarting;
+}
+
+}
+
+mesh_daemon::mesh_daemon(daemon_settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mPolicy(mSettings, Now(), SeedFor(mSettings))
+  , mSignals(mContext, SIGTERM, SIGINT)
+  , mControl(mContext,
+             mSettings,
+             mMetrics,
+             [this](std::shared_ptr<routing_view const> aView) {
+               mPolicy.SetView(Now(), std::move(aView));
+             })
+  , mAdmin(mContext,
+           mSettings,
+           mControl,
+           mPolicy,
+           mMetrics,
+           [this] { return mLifecycle->State(); })
+{
+  shared_services const shared{
+    mSettings, mPolicy, mMetrics, mPermits, mRequests
+  };
+  for (std::uint32_t index = 0; index < mSettings.mTrafficThreads; ++index) {
+    mThreads.push_back(std::make_unique<traffic_thread>(shared));
+    mThreads.back()->SetPeerHooks(MakePeerHooks(*mThreads.back()));
+  }
+  MakeListeners();
+}
+
+mesh_daemon::~mesh_daemon()
+{
+  for (auto const& thread : mThreads) {
+    thread->Stop();
+  }
+}
+
+void
+mesh_daemon::MakeListeners()
+{
+  auto const add = [this](core::address const& aAddress,
+                          listener::serve_function aServe) {
+    mListeners.push_back(
+      { aAddress,
+        std::make_unique<listener>(mContext,
+                                   mThreads,
+                                   mMetrics,
+                                   mSettings.mMaximumConnections,
+                                   std::move(aServe)) });
+  };
+  add(mSettings.mCallerAddress,
+      [](traffic_thread& aThread, tcp::socket aSocket) {
+        return ServeHttp(
+          aThread.Http(), listener_kind::kCaller, std::move(aSocket));
+      });
+  add(mSettings.mEgressAddress,
+      [](traffic_thread& aThread, tcp::socket aSocket) {
+        return ServeHttp(
+          aThread.Http(), listener_kind::kEgress, std::move(aSocket));
+      });
+  add(mSettings.mPeerAddress,
+      [](traffic_thread& aThread, tcp::socket aSocket) {
+        return ServePeer(
+          aThread.Incoming(), aThread.PeerHooks(), std::move(aSocket));
+      });
+}
+
+call_server_hooks
+mesh_daemon::MakePeerHooks(traffic_thread& aThread)
+{
+  return {
+    [](hello const&) {},
+    [this, &aThread](traffic_message const& aMessage,
+                     core::address const& aPeer) {
+      OnTrafficMessage(aThread, aMessage, aPeer);
+    },
+    [this](std::string aEnvelope) {
+      asio::post(mContext, [this, envelope = std::move(aEnvelope)] {
+        mControl.OnStreamEnvelope(envelope);
+      });
+    },
+  };
+}
+
+void
+mesh_daemon::OnTrafficMessage(traffic_thread& aThread,
+                              traffic_message const& aMessage,
+                              core::address const& aPeer)
+{
+  if (aMessage.mTopic != traffic_topic::kRetryPermits) {
+    return;
+  }
+  auto const message =
+    core::Attempt([&] { return DecodePermitMessage(aMessage.mPayload); });
+  if (!message) {
+    mMetrics.CountRefusal(refusal_place::kListener,
+                          core::refusal_reason::kMalformed);
+    return;
+  }
+  if (auto const* const answer = std::get_if<permit_answer>(&*message)) {
+    mPermits.OnAnswer(*answer);
+    return;
+  }
+  auto const& request = std::get<permit_request>(*message);
+  permit_answer const answer{ request.mId,
+                              mPolicy.TakePermit(Now(), request.mRequest) };
+  aThread.Links().To(aPeer).Send(
+    traffic_message{ traffic_topic::kRetryPermits,
+                     EncodePermitMessage(answer) });
+}
+
+core::result<void>
+mesh_daemon::BindLifecycle()
+{
+  BOOST_LEAF_AUTO(chart, core::state_chart::BuiltIn("instance_life_cycle"));
+  core::state_machine::handlers handlers{
+    { "announce", [this] { Announce(); } },
+    { "start_grace", [this] { StartGrace(); } },
+    { "stop", [this] { Stop(); } },
+  };
+  BOOST_LEAF_AUTO(
+    machine,
+    core::state_machine::Create(std::move(chart), std::move(handlers)));
+  mLifecycle.emplace(std::move(machine));
+  return {};
+}
+
+core::result<void>
+mesh_daemon::Start(bool aBootstrap)
+{
+  BOOST_LEAF_CHECK(BindLifecycle());
+  for (auto const& entry : mListeners) {
+    BOOST_LEAF_CHECK(entry.mListener->Open(entry.mAddress));
+  }
+  BOOST_LEAF_CHECK(mAdmin.Start());
+  BOOST_LEAF_CHECK(mControl.Start(aBootstrap));
+  StartPeriodicWork();
+  for (auto const& thread : mThreads) {
+    thread->Start();
+  }
+  core::LogInfo("started")
+    .Field("instance", mSettings.mInstance.mValue)
+    .Field("zone", mSettings.mZone.mValue)
+    .Field("callers", core::FormatAddress(mSettings.mCallerAddress))
+    .Field("admin", core::FormatAddress(mSettings.mAdminAddress))
+    .Field("peers", core::FormatAddress(mSettings.mPeerAddress));
+  return {};
+}
+
+void
+mesh_daemon::StartPeriodicWork()
+{
+  auto& timers = mControl.Timers();
+  timers.Every(Now(), kAdmissionTick, [this](core::time_point aNow) {
+    mPolicy.Tick(aNow);
+  });
+  timers.Every(Now(), kSenderInterval, [this](core::time_point) {
+    mControl.NoteSenders(mPolicy.TakeSenders());
+    mMetrics.SetGauge("calls_in_flight",
+                      static_cast<double>(mPolicy.CallsInFlight()));
+  });
+  asio::co_spawn(
+    mContext, [this] { return WatchUpstream(); }, asio::detached);
+  asio::co_spawn(
+    mContext, [this] { return WatchSignals(); }, asio::detached);
+}
+
+void
+mesh_daemon::Run()
+{
+  mContext.run();
+  for (auto const& thread : mThreads) {
+    thread->Stop();
+  }
+}
+
+task<void>
+mesh_daemon::WatchUpstream()
+{
+  asio::steady_timer pause(mContext);
+  while (!mIsStopped) {
+    auto const status = co_await CheckHealth(mContext.get_executor(),
+                                             mSettings.mUpstream.mAddress,
+                                             mSettings.mUpstream.mHealthPath);
+    OnUpstreamHealth(status);
+    pause.expires_after(kHealthInterval);
+    co_await pause.async_wait(kAsTuple);
+  }
+}
+
+void
+mesh_daemon::OnUpstreamHealth(unsigned aStatus)
+{
+  auto const before = mLifecycle->State();
+  // A health endpoint may mislead: a bad status keeps a new upstream from
+  // getting work, but only a refused connection takes work away.
+  if (aStatus == kHealthy) {
+    mLifecycle->Fire("upstream_ready");
+    mPolicy.SetUpstreamReady(Now(), true);
+  } else if (aStatus == 0) {
+    mLifecycle->Fire("upstream_lost");
+    mPolicy.SetUpstreamReady(Now(), false);
+  }
+  if (mLifecycle->State() != before) {
+    core::LogInfo("lifecycle_changed")
+      .Field("from", before)
+      .Field("to", mLifecycle->State());
+  }
+}
+
+void
+mesh_daemon::Announce()
+{
+  mControl.SetLifecycle(ToLifecycle(mLifecycle->State()));
+}
+
+task<void>
+mesh_daemon::WatchSignals()
+{
+  auto const [code, number] = co_await mSignals.async_wait(kAsTuple);
+  if (code) {
+    co_return;
+  }
+  core::LogInfo("stop_requested").Field("signal", number);
+  mLifecycle->Fire("stop_requested");
+}
+
+void
+mesh_daemon::StartGrace()
+{
+  mControl.NoteSenders(mPolicy.TakeSenders());
+  mPolicy.StartDraining(Now());
+  asio::co_spawn(
+    mContext, [this] { return WaitUntilIdle(); }, asio::detached);
+}
+
+task<void>
+mesh_daemon::WaitUntilIdle()
+{
+  auto const started = Now();
+  auto const end =
+    started + std::chrono::milliseconds(mSettings.mDrainGraceMilliseconds);
+  asio::steady_timer pause(mContext);
+  for (;;) {
+    auto const now = Now();
+    bool const isIdle =
+      mPolicy.CallsInFlight() == 0 && mRequests.load() == 0;
+    if (isIdle && now >= started + kLeastDrainTime) {
+      mLifecycle->Fire("idle");
+      co_return;
+    }
+    if (now >= end) {
+      core::LogWarning("drain_grace_over")
+        .Field("calls", static_cast<std::int64_t>(mPolicy.CallsInFlight()))
+        .Field("requests", mRequests.load());
+      mLifecycle->Fire("grace_over");
+      co_return;
+    }
+    pause.expires_after(kIdleCheckInterval);
+    co_await pause.async_wait(kAsTuple);
+  }
+}
+
+void
+mesh_daemon::Stop()
+{
+  mIsStopped = true;
+  auto const farewell =
+    std::make_shared<asio::steady_timer>(mContext, kFarewellTime);
+  farewell->async_wait([this, farewell](boost::system::error_code) {
+    core::LogInfo("stopped");
+    for (auto const& entry : mListeners) {
+      entry.mListener->Close();
+    }
+    mAdmin.Stop();
+    mControl.Stop();
+    mContext.stop();
+  });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/Daemon.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "LibDaemon/AdminApi.h"
+#include "LibDaemon/CallServer.h"
+#include "LibDaemon/ControlPlane.h"
+#include "LibDaemon/HttpServer.h"
+#include "LibDaemon/TrafficThread.h"
+
+#include "LibCore/StateChart.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/signal_set.hpp>
+
+/// The whole daemon: one control thread, traffic threads, four listeners.
+namespace cranberryfold::daemon {
+
+class mesh_daemon
+{
+public:
+  explicit mesh_daemon(daemon_settings aSettings);
+  ~mesh_daemon();
+
+  /// Opens all listeners. aBootstrap starts a new control group on an empty
+  /// data folder. Fails with kUnreachable, kStorage or kInvalidInput.
+  core::result<void> Start(bool aBootstrap);
+
+  /// Serves until it is told to stop and has drained.
+  void Run();
+
+private:
+  struct bound_listener
+  {
+    core::address mAddress;
+    std::unique_ptr<listener> mListener;
+  };
+
+  core::result<void> BindLifecycle();
+  void MakeListeners();
+  call_server_hooks MakePeerHooks(traffic_thread& aThread);
+  void StartPeriodicWork();
+  void Announce();
+  void StartGrace();
+  void Stop();
+  task<void> WatchUpstream();
+  task<void> WatchSignals();
+  task<void> WaitUntilIdle();
+  void OnUpstreamHealth(unsigned aStatus);
+  void OnTrafficMessage(traffic_thread& aThread,
+                        traffic_message const& aMessage,
+                        core::address const& aPeer);
+
+  daemon_settings mSettings;
+  metrics mMetrics;
+  traffic_policy mPolicy;
+  permit_exchange mPermits;
+  request_counter mRequests{ 0 };
+  asio::io_context mContext{ 1 };
+  asio::signal_set mSignals;
+  control_plane mControl;
+  std::optional<core::state_machine> mLifecycle;
+  admin_api mAdmin;
+  std::vector<std::unique_ptr<traffic_thread>> mThreads;
+  std::vector<bound_listener> mListeners;
+  bool mIsStopped = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/FrameChannel.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibDaemon/Asio.h"
+#include "LibDaemon/CallFrames.h"
+#include "LibWire/Frame.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace cranberryfold::daemon {
+
+/// A TCP connection that carries frames. Used by one thread only; coroutines
+/// keep it alive while they wait on it.
+class frame_channel : public std::enable_shared_from_this<frame_channel>
+{
+public:
+  frame_channel(tcp::socket aSocket, std::size_t aMaximumFrameBytes);
+
+  /// Queues a frame. Bodies are bounded by stream credit, so that the queue
+  /// stays small; a peer that does not read is cut off at kMaximumQueueBytes.
+  void Send(call_frame const& aFrame);
+
+  /// Returns the next frame. Fails with kClosed when the connection ends and
+  /// with kMalformed or kLimitExceeded on bytes that are no frame.
+  task<core::attempt<call_frame>> Receive();
+
+  void Close();
+  bool IsOpen() const { return mSocket.is_open(); }
+  core::address const& RemoteAddress() const { return mRemote; }
+  void SetMaximumFrameBytes(std::size_t aBytes);
+
+  static constexpr std::size_t kMaximumQueueBytes = 64UL * 1024UL * 1024UL;
+
+private:
+  task<void> WriteQueue();
+
+  tcp::socket mSocket;
+  core::address mRemote;
+  wire::frame_splitter mSplitter;
+  std::deque<std::string> mQueue;
+  std::size_t mQueuedBytes = 0;
+  bool mIsWriting = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -0,0 +1,345 @@
+#include "LibDaemon/IncomingCall.h"
+
+#include "LibDaemon/HttpFields.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/beast/http.hpp>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+namespace http = boost::beast::http;
+using core::refusal_reason;
+using traffic::outcome;
+
+constexpr unsigned kHttpVersion = 11;
+constexpr std::uint32_t kMaximumHeaderBytes = 16U * 1024U;
+constexpr std::size_t kReadBytes = 16UL * 1024UL;
+
+/// Keeps the answer to an admission request until the call's thread sees it.
+struct admission_box
+{
+  std::optional<admission_decision> mDecision;
+};
+
+bool
+PromisesNotRun(http::response<http::buffer_body> const& aResponse)
+{
+  return aResponse.result() == http::status::service_unavailable &&
+         FieldValue(aResponse, header::kOutcome) ==
+           OutcomeName(outcome::kNotRun);
+}
+
+}
+
+incoming_call::incoming_call(incoming_services& aServices,
+                             std::shared_ptr<frame_channel> aChannel,
+                             call_head aHead)
+  : mServices(aServices)
+  , mChannel(std::move(aChannel))
+  , mHead(std::move(aHead))
+  , mSignal(aServices.mExecutor)
+  , mBodySignal(aServices.mExecutor)
+{
+}
+
+bool
+incoming_call::OnBody(body_chunk aChunk)
+{
+  if (aChunk.mBytes.size() > mBodyCredit) {
+    return false;
+  }
+  mBodyCredit -= aChunk.mBytes.size();
+  mBody.push_back(std::move(aChunk));
+  mBodySignal.Notify();
+  return true;
+}
+
+void
+incoming_call::OnWindow(window const& aWindow)
+{
+  mAnswerCredit += aWindow.mBytes;
+  mSignal.Notify();
+}
+
+void
+incoming_call::OnCancel()
+{
+  mIsCancelled = true;
+  if (mConnection) {
+    mConnection->mStream.close();
+  }
+  mSignal.Notify();
+  mBodySignal.Notify();
+}
+
+task<void>
+incoming_call::Run()
+{
+  auto const self = shared_from_this();
+  auto decision = co_await WaitForAdmission();
+  if (decision) {
+    mServices.mMetrics.CountRefusal(refusal_place::kAdmission,
+                                    decision->mReason);
+    SendRefusal(*decision);
+    co_return;
+  }
+  mAdmitted = Now();
+  auto const failure = co_await RunAdmitted();
+  auto const now = Now();
+  if (mIsCancelled) {
+    mServices.mPolicy.Cancel(now, mCall);
+  } else {
+    mServices.mPolicy.Finish(now, mCall, !failure, now - mAdmitted);
+  }
+  if (failure) {
+    mServices.mMetrics.CountRefusal(refusal_place::kAdmission,
+                                    failure->mReason);
+    SendRefusal(*failure);
+  }
+}
+
+task<admission_decision>
+incoming_call::WaitForAdmission()
+{
+  auto const box = std::make_shared<admission_box>();
+  auto const answer =
+    [box, self = shared_from_this()](admission_decision aDecision) {
+      asio::post(self->mServices.mExecutor, [box, self, aDecision] {
+        box->mDecision = aDecision;
+        self->mSignal.Notify();
+      });
+    };
+  mCall = mServices.mPolicy.Arrive(Now(), mHead.mContext, answer);
+  while (!box->mDecision && !mIsCancelled) {
+    co_await mSignal.Wait();
+  }
+  if (box->mDecision) {
+    co_return *box->mDecision;
+  }
+  mServices.mPolicy.Cancel(Now(), mCall);
+  co_return call_refusal{ outcome::kNotRun,
+                          refusal_reason::kDeadlineExceeded,
+                          {} };
+}
+
+task<std::optional<call_refusal>>
+incoming_call::RunAdmitted()
+{
+  mConnection = co_await mServices.mUpstreams.Take();
+  if (!mConnection || mIsCancelled) {
+    // Nothing was written, so the upstream cannot have run the call.
+    co_return call_refusal{ outcome::kNotRun,
+                            refusal_reason::kUpstreamLost,
+                            {} };
+  }
+  auto failure = co_await Exchange(mConnection);
+  bool const canReuse = !failure && mIsBodySent && !mIsCancelled;
+  if (canReuse) {
+    mServices.mUpstreams.Return(mConnection);
+  } else {
+    mConnection->mStream.close();
+    mBodySignal.Notify();
+  }
+  mConnection.reset();
+  co_return failure;
+}
+
+call_refusal
+incoming_call::FailureOf(boost::system::error_code aCode) const
+{
+  bool const isTimeout = aCode == boost::beast::error::timeout;
+  return { outcome::kUnknown,
+           isTimeout ? refusal_reason::kDeadlineExceeded
+                     : refusal_reason::kUpstreamLost,
+           {} };
+}
+
+task<std::optional<call_refusal>>
+incoming_call::Exchange(std::shared_ptr<upstream_connection> aConnection)
+{
+  auto& stream = aConnection->mStream;
+  stream.expires_at(ToSteadyClock(mHead.mContext.mDeadline));
+  if (!co_await SendRequest(*aConnection)) {
+    co_return FailureOf(boost::asio::error::connection_reset);
+  }
+  if (mHead.mHasBody) {
+    asio::co_spawn(
+      mServices.mExecutor,
+      [self = shared_from_this(), aConnection] {
+        return self->SendBody(aConnection);
+      },
+      asio::detached);
+  } else {
+    mIsBodySent = true;
+  }
+  response_parser parser;
+  parser.header_limit(kMaximumHeaderBytes);
+  parser.body_limit(boost::none);
+  if (mHead.mMethod == "HEAD") {
+    parser.skip(true);
+  }
+  auto const [code, size] = co_await http::async_read_header(
+    stream, aConnection->mBuffer, parser, kAsTuple);
+  if (code) {
+    co_return FailureOf(code);
+  }
+  if (PromisesNotRun(parser.get())) {
+    // The response's body is not read, so the connection is not used again.
+    mIsBodySent = false;
+    co_return call_refusal{ outcome::kNotRun,
+                            refusal_reason::kUpstreamRefused,
+                            {} };
+  }
+  auto failure = co_await ForwardAnswer(*aConnection, parser);
+  if (!parser.get().keep_alive()) {
+    mIsBodySent = false;
+  }
+  co_return failure;
+}
+
+task<bool>
+incoming_call::SendRequest(upstream_connection& aConnection)
+{
+  http::request<http::buffer_body> request;
+  request.method_string(mHead.mMethod);
+  request.target(mHead.mTarget);
+  request.version(kHttpVersion);
+  AppendHeaders(request, mHead.mHeaders);
+  WriteContext(request, mHead.mContext, Now());
+  request.body().data = nullptr;
+  request.body().more = mHead.mHasBody;
+  if (mHead.mContentLength) {
+    request.content_length(*mHead.mContentLength);
+  } else if (mHead.mHasBody) {
+    request.chunked(true);
+  }
+  http::request_serializer<http::buffer_body> serializer(request);
+  auto const [code, size] = co_await http::async_write_header(
+    aConnection.mStream, serializer, kAsTuple);
+  co_return !code;
+}
+
+task<void>
+incoming_call::SendBody(std::shared_ptr<upstream_connection> aConnection)
+{
+  auto const self = shared_from_this();
+  bool const isChunked = !mHead.mContentLength.has_value();
+  for (;;) {
+    while (mBody.empty()) {
+      if (mIsCancelled || !aConnection->mStream.socket().is_open()) {
+        co_return;
+      }
+      co_await mBodySignal.Wait();
+    }
+    auto const chunk = std::move(mBody.front());
+    mBody.pop_front();
+    boost::system::error_code code;
+    if (!chunk.mBytes.empty() && isChunked) {
+      auto const framed = http::make_chunk(asio::buffer(chunk.mBytes));
+      std::tie(code, std::ignore) =
+        co_await asio::async_write(aConnection->mStream, framed, kAsTuple);
+    } else if (!chunk.mBytes.empty()) {
+      std::tie(code, std::ignore) = co_await asio::async_write(
+        aConnection->mStream, asio::buffer(chunk.mBytes), kAsTuple);
+    }
+    if (!code && chunk.mLast && isChunked) {
+      std::tie(code, std::ignore) = co_await asio::async_write(
+        aConnection->mStream, http::make_chunk_last(), kAsTuple);
+    }
+    if (code) {
+      co_return;
+    }
+    if (chunk.mLast) {
+      mIsBodySent = true;
+      co_return;
+    }
+    auto const size = static_cast<std::uint32_t>(chunk.mBytes.size());
+    mBodyCredit += size;
+    mChannel->Send(window{ mHead.mStream, size });
+  }
+}
+
+void
+incoming_call::SendAnswerHead(response_parser const& aParser)
+{
+  answer_head head;
+  head.mStream = mHead.mStream;
+  head.mAttempt = mHead.mAttempt;
+  head.mStatus = aParser.get().result_int();
+  head.mHeaders = EndToEndHeaders(aParser.get());
+  if (auto const length = aParser.content_length()) {
+    head.mContentLength = *length;
+  }
+  head.mHasBody = !aParser.is_done();
+  head.mStamp = mServices.mPolicy.Stamp(Now());
+  mChannel->Send(head);
+}
+
+task<std::optional<call_refusal>>
+incoming_call::ForwardAnswer(upstream_connection& aConnection,
+                             response_parser& aParser)
+{
+  SendAnswerHead(aParser);
+  if (aParser.is_done()) {
+    co_return std::nullopt;
+  }
+  co_return co_await ForwardAnswerBody(aConnection, aParser);
+}
+
+task<bool>
+incoming_call::WaitForCredit()
+{
+  while (mAnswerCredit == 0 && !mIsCancelled) {
+    if (Now() >= mHead.mContext.mDeadline) {
+      co_return false;
+    }
+    co_await mSignal.Wait(mHead.mContext.mDeadline);
+  }
+  co_return !mIsCancelled;
+}
+
+task<std::optional<call_refusal>>
+incoming_call::ForwardAnswerBody(upstream_connection& aConnection,
+                                 response_parser& aParser)
+{
+  std::array<char, kReadBytes> bytes;
+  while (!aParser.is_done()) {
+    if (!co_await WaitForCredit()) {
+      co_return call_refusal{ outcome::kUnknown,
+                              refusal_reason::kDeadlineExceeded,
+                              {} };
+    }
+    auto const limit = std::min<std::uint64_t>(bytes.size(), mAnswerCredit);
+    aParser.get().body().data = bytes.data();
+    aParser.get().body().size = limit;
+    auto const [code, read] = co_await http::async_read_some(
+      aConnection.mStream, aConnection.mBuffer, aParser, kAsTuple);
+    if (code && code != http::error::need_buffer) {
+      co_return FailureOf(code);
+    }
+    auto const size = limit - aParser.get().body().size;
+    mAnswerCredit -= size;
+    mChannel->Send(answer_chunk{ mHead.mStream,
+                                 mHead.mAttempt,
+                                 std::string(bytes.data(), size),
+                                 aParser.is_done() });
+  }
+  co_return std::nullopt;
+}
+
+void
+incoming_call::SendRefusal(call_refusal const& aRefusal)
+{
+  mChannel->Send(refusal{ mHead.mStream,
+                          mHead.mAttempt,
+                          aRefusal.mOutcome,
+                          aRefusal.mReason,
+                          aRefusal.mRetryAfter,
+                          mServices.mPolicy.Stamp(Now()) });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "LibDaemon/FrameChannel.h"
+#include "LibDaemon/Metrics.h"
+#include "LibDaemon/TrafficPolicy.h"
+#include "LibDaemon/UpstreamClient.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cranberryfold::daemon {
+
+/// What all incoming calls of one traffic thread use.
+struct incoming_services
+{
+  asio::any_io_executor mExecutor;
+  daemon_settings const& mSettings;
+  traffic_policy& mPolicy;
+  metrics& mMetrics;
+  upstream_pool& mUpstreams;
+};
+
+/// One call from a peer to the local upstream: admission, HTTP exchange,
+/// streaming of both bodies with flow control.
+class incoming_call : public std::enable_shared_from_this<incoming_call>
+{
+public:
+  incoming_call(incoming_services& aServices,
+                std::shared_ptr<frame_channel> aChannel,
+                call_head aHead);
+
+  /// Runs the call to its end; every path sends an answer or a refusal.
+  task<void> Run();
+
+  /// Returns false when the peer sent more than its credit.
+  bool OnBody(body_chunk aChunk);
+  void OnWindow(window const& aWindow);
+  void OnCancel();
+
+private:
+  using response_parser =
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+  task<std::optional<call_refusal>> RunAdmitted();
+  task<std::optional<call_refusal>> Exchange(
+    std::shared_ptr<upstream_connection> aConnection);
+  task<bool> SendRequest(upstream_connection& aConnection);
+  task<void> SendBody(std::shared_ptr<upstream_connection> aConnection);
+  task<std::optional<call_refusal>> ForwardAnswer(
+    upstream_connection& aConnection,
+    response_parser& aParser);
+  task<std::optional<call_refusal>> ForwardAnswerBody(
+    upstream_connection& aConnection,
+    response_parser& aParser);
+  task<admission_decision> WaitForAdmission();
+  task<bool> WaitForCredit();
+  void SendAnswerHead(response_parser const& aParser);
+  void SendRefusal(call_refusal const& aRefusal);
+  call_refusal FailureOf(boost::system::error_code aCode) const;
+
+  incoming_services& mServices;
+  std::shared_ptr<frame_channel> mChannel;
+  call_head mHead;
+  signal mSignal;
+  signal mBodySignal;
+  traffic::call_id mCall;
+  core::time_point mAdmitted;
+  std::shared_ptr<upstream_connection> mConnection;
+  std::deque<body_chunk> mBody;
+  std::uint64_t mBodyCredit = kInitialCreditBytes;
+  std::uint64_t mAnswerCredit = kInitialCreditBytes;
+  bool mIsBodySent = false;
+  bool mIsCancelled = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/Metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "LibCore/Reasons.h"
+#include "LibTables/Tables.h"
+#include "LibTraffic/CallContext.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// Counters and gauges of one daemon, in Prometheus' text format. Safe to use
+/// from all threads.
+namespace cranberryfold::daemon {
+
+/// Where a refusal was decided.
+enum class refusal_place
+{
+  kCaller,
+  kSender,
+  kAdmission,
+  kListener,
+};
+
+class metrics
+{
+public:
+  metrics();
+  ~metrics();
+  metrics(metrics const&) = delete;
+  metrics& operator=(metrics const&) = delete;
+
+  void CountRefusal(refusal_place aPlace, core::refusal_reason aReason);
+  void CountRetry(core::retry_reason aReason);
+  /// Counts a finished attempt at an upstream.
+  void CountAttempt(traffic::outcome aOutcome);
+  /// Counts a response to a caller, by class and status.
+  void CountResponse(tables::work_class aClass, unsigned aStatus);
+  void CountInterRegionBytes(std::uint64_t aBytes);
+  void CountLateFrame();
+  void SetGauge(std::string_view aName, double aValue);
+
+  /// Returns all in the text exposition format.
+  std::string Text() const;
+
+private:
+  struct families;
+  std::unique_ptr<families> mFamilies;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/ReplicaHost.cpp
@@ -0,0 +1,229 @@
+#include "LibDaemon/ReplicaHost.h"
+
+#include "LibCore/Hash.h"
+#include "LibCore/Log.h"
+
+#include <chrono>
+#include <filesystem>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+/// A later life gets a higher incarnation, since wall clocks move forward over
+/// the time that it takes to replace a disk.
+core::incarnation
+NewIncarnation()
+{
+  auto const now = std::chrono::system_clock::now().time_since_epoch();
+  return { static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count()) };
+}
+
+control::replica_group
+InitialGroup(control_settings const& aSettings)
+{
+  control::replica_group group;
+  for (auto const& member : aSettings.mInitialGroup) {
+    group[member.mInstance] = { member.mPeerAddress, {}, true };
+  }
+  return group;
+}
+
+}
+
+replica_host::replica_host(asio::io_context& aControl,
+                           daemon_settings const& aSettings,
+                           hooks aHooks)
+  : mControl(aControl)
+  , mSettings(aSettings)
+  , mHooks(std::move(aHooks))
+  , mJournal(aSettings.mControl->mDataFolder)
+{
+}
+
+replica_host::~replica_host()
+{
+  mDisk.join();
+}
+
+core::result<control::recovered_state>
+replica_host::Recover(bool aBootstrap)
+{
+  BOOST_LEAF_AUTO(outcome, mJournal.Load());
+  if (outcome.mState) {
+    return *outcome.mState;
+  }
+  std::error_code ignored;
+  bool const isNewGroup =
+    aBootstrap &&
+    std::filesystem::is_empty(mSettings.mControl->mDataFolder, ignored);
+  auto const state =
+    isNewGroup
+      ? control::InitialState(mSettings.mInstance,
+                              InitialGroup(*mSettings.mControl))
+      : control::EmptyState(mSettings.mInstance, NewIncarnation());
+  core::LogWarning(isNewGroup ? "control_group_started" : "control_disk_lost")
+    .Field("folder", mSettings.mControl->mDataFolder)
+    .Field("reason", outcome.mLostReason);
+  BOOST_LEAF_CHECK(mJournal.Reset(state));
+  return state;
+}
+
+core::result<void>
+replica_host::Start(bool aBootstrap)
+{
+  BOOST_LEAF_AUTO(state, Recover(aBootstrap));
+  control::replica_options options;
+  for (auto const& member : mSettings.mControl->mInitialGroup) {
+    options.mContacts.push_back(member.mInstance);
+  }
+  auto const seed = core::Hash64(mSettings.mInstance.mValue,
+                                 NewIncarnation().mValue);
+  BOOST_LEAF_AUTO(created,
+                  control::replica::Create(options, std::move(state), seed));
+  mReplica = std::move(created);
+  Tick();
+  return {};
+}
+
+void
+replica_host::Tick()
+{
+  Handle(control::tick{});
+}
+
+void
+replica_host::OnMessage(control::message aMessage)
+{
+  Handle(control::message_received{ std::move(aMessage) });
+}
+
+void
+replica_host::SubmitEdit(tables::edit aEdit, edit_callback aCallback)
+{
+  control::submission_id const id{ ++mLastRequest };
+  mEdits.emplace(id, std::move(aCallback));
+  Handle(control::edit_submitted{ id, std::move(aEdit) });
+}
+
+void
+replica_host::Read(bool aCurrent, read_callback aCallback)
+{
+  control::read_id const id{ ++mLastRequest };
+  mReads.emplace(id, std::move(aCallback));
+  Handle(control::read_requested{ id, aCurrent });
+}
+
+control::replica_status
+replica_host::Status() const
+{
+  return mReplica->Status(Now());
+}
+
+std::deque<control::edit_record> const&
+replica_host::History() const
+{
+  return mReplica->History();
+}
+
+std::optional<core::address>
+replica_host::AddressOf(core::instance_id const& aInstance) const
+{
+  auto const group = Status().mGroup;
+  auto const found = group.find(aInstance);
+  if (found != group.end()) {
+    return found->second.mPeerAddress;
+  }
+  for (auto const& member : mSettings.mControl->mInitialGroup) {
+    if (member.mInstance == aInstance) {
+      return member.mPeerAddress;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+replica_host::Handle(control::event const& aEvent)
+{
+  for (auto const& action : mReplica->Handle(Now(), aEvent)) {
+    std::visit([this](auto const& aAction) { Perform(aAction); }, action);
+  }
+}
+
+void
+replica_host::Perform(control::send_message const& aAction)
+{
+  mHooks.mSend(aAction.mTo, aAction.mMessage);
+}
+
+void
+replica_host::Perform(control::append_journal const& aAction)
+{
+  WriteToDisk(aAction.mSequence,
+              [this, aAction] { return mJournal.Append(aAction); });
+}
+
+void
+replica_host::Perform(control::write_snapshot const& aAction)
+{
+  WriteToDisk(aAction.mSequence,
+              [this, aAction] { return mJournal.WriteSnapshot(aAction); });
+}
+
+void
+replica_host::WriteToDisk(std::uint64_t aSequence,
+                          std::function<core::result<void>()> aWrite)
+{
+  asio::post(mDisk, [this, aSequence, write = std::move(aWrite)] {
+    auto const outcome = core::Attempt(write);
+    asio::post(mControl, [this, aSequence, outcome] {
+      if (outcome) {
+        Handle(control::journal_synced{ aSequence });
+        return;
+      }
+      core::LogError("journal_failed")
+        .Field("error", core::FormatError(outcome.mError));
+      Handle(control::journal_failed{ outcome.mError });
+    });
+  });
+}
+
+void
+replica_host::Perform(control::answer_edit const& aAction)
+{
+  core::LogInfo("edit_answered")
+    .Field("result", control::EditStatusName(aAction.mAnswer.mStatus))
+    .Field("edit", aAction.mAnswer.mEdit.mValue)
+    .Field("revision",
+           static_cast<std::int64_t>(aAction.mAnswer.mRevision.mValue));
+  if (auto waiting = mEdits.extract(aAction.mSubmission)) {
+    waiting.mapped()(aAction.mAnswer);
+  }
+}
+
+void
+replica_host::Perform(control::answer_read const& aAction)
+{
+  if (auto waiting = mReads.extract(aAction.mRead)) {
+    waiting.mapped()(aAction);
+  }
+}
+
+void
+replica_host::Perform(control::tables_committed const& aAction)
+{
+  bool const isLeader = Status().mRole == control::replica_role::kLeader;
+  mHooks.mOnCommitted(aAction, isLeader);
+}
+
+void
+replica_host::Perform(control::role_changed const& aAction)
+{
+  core::LogInfo("control_role_changed")
+    .Field("role", control::ReplicaRoleName(aAction.mRole))
+    .Field("term", static_cast<std::int64_t>(aAction.mTerm))
+    .Field("leader", aAction.mLeader ? aAction.mLeader->mValue : "none");
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/RetryPermits.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "LibCore/Error.h"
+#include "LibCore/Ids.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// Retry permits over the wire: a daemon below the root asks the root daemon
+/// before it retries.
+namespace cranberryfold::daemon {
+
+using permit_id = core::number_id<struct permit_tag>;
+
+struct permit_request
+{
+  permit_id mId;
+  core::request_id mRequest;
+
+  bool operator==(permit_request const&) const = default;
+};
+
+struct permit_answer
+{
+  permit_id mId;
+  bool mIsGranted = false;
+
+  bool operator==(permit_answer const&) const = default;
+};
+
+using permit_message = std::variant<permit_request, permit_answer>;
+
+std::string
+EncodePermitMessage(permit_message const& aMessage);
+
+/// Fails with kMalformed.
+core::result<permit_message>
+DecodePermitMessage(std::string_view aBytes);
+
+/// Matches answers with the calls that wait for them. Safe to use from all
+/// threads.
+class permit_exchange
+{
+public:
+  using callback = std::function<void(bool)>;
+
+  /// Registers a request; aCallback runs on the thread of OnAnswer().
+  permit_id Register(callback aCallback);
+  void OnAnswer(permit_answer const& aAnswer);
+  /// Forgets a request that has waited long enough.
+  void Forget(permit_id aId);
+
+private:
+  std::mutex mMutex;
+  std::uint64_t mLastId = 0;
+  std::map<permit_id, callback> mWaiting;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -0,0 +1,338 @@
+#include "LibDaemon/TrafficPolicy.h"
+
+namespace cranberryfold::daemon {
+
+using core::refusal_reason;
+using traffic::outcome;
+
+namespace {
+
+/// Suggested wait when there is nothing to derive it from.
+constexpr core::duration kDefaultRetryAfter = std::chrono::seconds(1);
+
+traffic::candidate
+ToCandidate(routing_member const& aMember)
+{
+  return { aMember.mInstance,  aMember.mIncarnation, aMember.mZone,
+           aMember.mRegion,    aMember.mPeerAddress, aMember.mSlots,
+           aMember.mIsDraining };
+}
+
+}
+
+traffic_policy::pool_state::pool_state(traffic::location aHere,
+                                       core::random_source& aRandom,
+                                       std::uint32_t aRetryPercent)
+  : mSelector(std::move(aHere), aRandom)
+  , mRatio(aRetryPercent)
+{
+}
+
+traffic_policy::traffic_policy(daemon_settings const& aSettings,
+                               core::time_point aNow,
+                               std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mRandom(aSeed)
+  , mView(std::make_shared<routing_view const>())
+  , mAdmission(aNow)
+{
+  mOwnPool.mService = mSettings.mUpstream.mService;
+  ConfigureAdmission(aNow);
+}
+
+void
+traffic_policy::SetView(core::time_point aNow,
+                        std::shared_ptr<routing_view const> aView)
+{
+  std::scoped_lock const lock(mMutex);
+  mView = std::move(aView);
+  for (auto const& [name, row] : mView->mTables.mPools) {
+    // Pools of one service share its upstreams; the first by name governs
+    // admission.
+    if (row.mService == mSettings.mUpstream.mService) {
+      if (row != mOwnPool) {
+        mOwnPool = row;
+        ConfigureAdmission(aNow);
+      }
+      break;
+    }
+  }
+  ConfigurePools();
+}
+
+void
+traffic_policy::ConfigureAdmission(core::time_point aNow)
+{
+  mAdmission.Handle(
+    aNow,
+    traffic::configuration_changed{ mSettings.mUpstream.mSlots, mOwnPool });
+}
+
+void
+traffic_policy::ConfigurePools()
+{
+  traffic::location const here{ mSettings.mZone, mSettings.mRegion };
+  for (auto const& [name, row] : mView->mTables.mPools) {
+    std::vector<traffic::candidate> candidates;
+    for (auto const& member : mView->mMembers) {
+      bool const takesWork = member.mIsServing || member.mIsDraining;
+      if (member.mService == row.mService && takesWork) {
+        candidates.push_back(ToCandidate(member));
+      }
+    }
+    auto const [entry, isNew] =
+      mPools.try_emplace(name, here, mRandom, row.mRetryPercent);
+    entry->second.mRatio.SetPercent(row.mRetryPercent);
+    entry->second.mSelector.Configure(row, std::move(candidates));
+  }
+  std::erase_if(mPools, [this](auto const& aEntry) {
+    return !mView->mTables.mPools.contains(aEntry.first);
+  });
+}
+
+std::shared_ptr<routing_view const>
+traffic_policy::View() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mView;
+}
+
+traffic_policy::decisions
+traffic_policy::Handle(core::time_point aNow,
+                       traffic::admission_event const& aEvent)
+{
+  decisions made;
+  for (auto const& action : mAdmission.Handle(aNow, aEvent)) {
+    admission_decision decision;
+    traffic::call_id call;
+    if (auto const* const refused =
+          std::get_if<traffic::refuse_call>(&action)) {
+      call = refused->mCall;
+      decision = { outcome::kNotRun, refused->mReason, refused->mRetryAfter };
+    } else {
+      call = std::get<traffic::admit_call>(action).mCall;
+    }
+    if (auto waiting = mWaiting.extract(call)) {
+      made.emplace_back(std::move(waiting.mapped()), decision);
+    }
+  }
+  return made;
+}
+
+void
+traffic_policy::RunCallbacks(decisions const& aDecisions)
+{
+  for (auto const& [callback, decision] : aDecisions) {
+    callback(decision);
+  }
+}
+
+traffic::call_id
+traffic_policy::Arrive(core::time_point aNow,
+                       traffic::call_context const& aContext,
+                       admission_callback aCallback)
+{
+  decisions made;
+  traffic::call_id call;
+  {
+    std::scoped_lock const lock(mMutex);
+    call = { ++mLastCall };
+    if (!mIsReady && !mIsDraining) {
+      made.emplace_back(std::move(aCallback),
+                        call_refusal{ outcome::kNotRun,
+                                      refusal_reason::kNotReady,
+                                      kDefaultRetryAfter });
+    } else {
+      mWaiting.emplace(call, std::move(aCallback));
+      made = Handle(aNow, traffic::call_arrived{ call, aContext });
+    }
+  }
+  RunCallbacks(made);
+  return call;
+}
+
+void
+traffic_policy::Finish(core::time_point aNow,
+                       traffic::call_id aCall,
+                       bool aSucceeded,
+                       core::duration aLatency)
+{
+  decisions made;
+  {
+    std::scoped_lock const lock(mMutex);
+    made = Handle(aNow, traffic::call_finished{ aCall, aSucceeded, aLatency });
+  }
+  RunCallbacks(made);
+}
+
+void
+traffic_policy::Cancel(core::time_point aNow, traffic::call_id aCall)
+{
+  decisions made;
+  {
+    std::scoped_lock const lock(mMutex);
+    mWaiting.erase(aCall);
+    made = Handle(aNow, traffic::call_cancelled{ aCall });
+  }
+  RunCallbacks(made);
+}
+
+void
+traffic_policy::Tick(core::time_point aNow)
+{
+  decisions made;
+  {
+    std::scoped_lock const lock(mMutex);
+    made = Handle(aNow, traffic::admission_tick{});
+    mBudget.Advance(aNow);
+  }
+  RunCallbacks(made);
+}
+
+void
+traffic_policy::SetUpstreamReady(core::time_point aNow, bool aIsReady)
+{
+  decisions made;
+  {
+    std::scoped_lock const lock(mMutex);
+    if (aIsReady && !mIsReady) {
+      made = Handle(aNow, traffic::upstream_restarted{});
+    }
+    mIsReady = aIsReady;
+  }
+  RunCallbacks(made);
+}
+
+void
+traffic_policy::StartDraining(core::time_point aNow)
+{
+  decisions made;
+  {
+    std::scoped_lock const lock(mMutex);
+    mIsDraining = true;
+    made = Handle(aNow, traffic::admission_drain_started{});
+  }
+  RunCallbacks(made);
+}
+
+bool
+traffic_policy::IsDraining() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mIsDraining;
+}
+
+bool
+traffic_policy::IsUpstreamReady() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mIsReady;
+}
+
+std::size_t
+traffic_policy::CallsInFlight() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mAdmission.Running() + mAdmission.Waiting();
+}
+
+traffic::load_stamp
+traffic_policy::Stamp(core::time_point aNow) const
+{
+  std::scoped_lock const lock(mMutex);
+  return mAdmission.Stamp(aNow);
+}
+
+std::variant<traffic::chosen_upstream, call_refusal>
+traffic_policy::Choose(core::time_point aNow,
+                       traffic::call_context const& aContext,
+                       std::string const& aPool,
+                       std::vector<core::instance_id> const& aTried)
+{
+  std::scoped_lock const lock(mMutex);
+  auto const pool = mPools.find(aPool);
+  if (pool == mPools.end()) {
+    return call_refusal{ outcome::kNotRun,
+                         refusal_reason::kNoUpstream,
+                         kDefaultRetryAfter };
+  }
+  auto const choice = pool->second.mSelector.Select(aNow, aContext, aTried);
+  if (auto const* const refused =
+        std::get_if<traffic::local_refusal>(&choice)) {
+    return call_refusal{ outcome::kNotRun,
+                         refused->mReason,
+                         refused->mRetryAfter };
+  }
+  return std::get<traffic::chosen_upstream>(choice);
+}
+
+void
+traffic_policy::Report(core::time_point aNow,
+                       std::string const& aPool,
+                       traffic::attempt_report const& aReport)
+{
+  std::scoped_lock const lock(mMutex);
+  auto const pool = mPools.find(aPool);
+  if (pool == mPools.end()) {
+    return;
+  }
+  pool->second.mSelector.Report(aNow, aReport);
+  if (aReport.mOutcome == outcome::kRan) {
+    pool->second.mRatio.CountSuccess();
+  }
+}
+
+std::optional<traffic::retry_decision>
+traffic_policy::DecideRetry(std::string const& aPool,
+                            traffic::retry_facts aFacts)
+{
+  std::scoped_lock const lock(mMutex);
+  auto const pool = mPools.find(aPool);
+  if (pool == mPools.end()) {
+    return std::nullopt;
+  }
+  aFacts.mUsualLatency = pool->second.mSelector.UsualLatency();
+  return traffic::DecideRetry(aFacts, pool->second.mRatio, mRandom);
+}
+
+void
+traffic_policy::OpenBudget(core::time_point aNow,
+                           traffic::call_context const& aContext,
+                           std::uint32_t aExtraTries)
+{
+  std::scoped_lock const lock(mMutex);
+  mBudget.Open(aNow, aContext.mRequest, aExtraTries, aContext.mDeadline);
+}
+
+void
+traffic_policy::CloseBudget(core::request_id const& aRequest)
+{
+  std::scoped_lock const lock(mMutex);
+  mBudget.Close(aRequest);
+}
+
+bool
+traffic_policy::TakePermit(core::time_point aNow,
+                           core::request_id const& aRequest)
+{
+  std::scoped_lock const lock(mMutex);
+  return mBudget.RequestPermit(aNow, aRequest);
+}
+
+void
+traffic_policy::NoteSender(core::address const& aPeer)
+{
+  std::scoped_lock const lock(mMutex);
+  mSenders.insert(aPeer);
+}
+
+std::vector<core::address>
+traffic_policy::TakeSenders()
+{
+  std::scoped_lock const lock(mMutex);
+  std::vector<core::address> const senders(mSenders.begin(), mSenders.end());
+  mSenders.clear();
+  return senders;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -0,0 +1,158 @@
+#include "LibDaemon/TrafficThread.h"
+
+#include "LibCore/Log.h"
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Pause after a failed accept, such as when file descriptors run out.
+constexpr auto kAcceptPause = 50ms;
+
+hello
+CallsHello(daemon_settings const& aSettings)
+{
+  return { kProtocolVersion,
+           connection_kind::kCalls,
+           aSettings.mInstance,
+           aSettings.mRegion,
+           aSettings.mPeerAddress };
+}
+
+}
+
+traffic_thread::traffic_thread(shared_services aShared)
+  : mWork(asio::make_work_guard(mContext))
+  , mLinks(mContext.get_executor(),
+           CallsHello(aShared.mSettings),
+           aShared.mMetrics)
+  , mUpstreams(mContext.get_executor(), aShared.mSettings.mUpstream.mAddress)
+  , mIncoming{ mContext.get_executor(),
+               aShared.mSettings,
+               aShared.mPolicy,
+               aShared.mMetrics,
+               mUpstreams }
+  , mOutgoing{ mContext.get_executor(), aShared.mSettings, aShared.mPolicy,
+               aShared.mMetrics,        mLinks,            aShared.mPermits }
+  , mHttp{ mOutgoing, aShared.mRequests }
+{
+}
+
+traffic_thread::~traffic_thread()
+{
+  Stop();
+}
+
+void
+traffic_thread::Start()
+{
+  mThread = std::thread([this] { mContext.run(); });
+}
+
+void
+traffic_thread::Post(std::function<void()> aFunction)
+{
+  asio::post(mContext, std::move(aFunction));
+}
+
+void
+traffic_thread::Stop()
+{
+  if (!mThread.joinable()) {
+    return;
+  }
+  mContext.stop();
+  mThread.join();
+}
+
+listener::listener(asio::io_context& aContext,
+                   std::vector<std::unique_ptr<traffic_thread>>& aThreads,
+                   metrics& aMetrics,
+                   std::size_t aMaximumConnections,
+                   serve_function aServe)
+  : mContext(aContext)
+  , mThreads(aThreads)
+  , mMetrics(aMetrics)
+  , mMaximumConnections(aMaximumConnections)
+  , mServe(std::move(aServe))
+  , mAcceptor(aContext)
+  , mOpen(std::make_shared<std::atomic<std::size_t>>(0))
+{
+}
+
+core::result<void>
+listener::Open(core::address const& aAddress)
+{
+  auto const endpoint = ToEndpoint<tcp>(aAddress);
+  boost::system::error_code code = asio::error::invalid_argument;
+  if (endpoint) {
+    mAcceptor.open(endpoint->protocol(), code);
+  }
+  if (!code) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    mAcceptor.bind(*endpoint, code);
+  }
+  if (!code) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, code);
+  }
+  if (code) {
+    return core::Fail({ core::error_code::kUnreachable,
+                        "open_listener",
+                        core::FormatAddress(aAddress),
+                        code.message() });
+  }
+  asio::co_spawn(
+    mContext, [this] { return AcceptConnections(); }, asio::detached);
+  return {};
+}
+
+void
+listener::Close()
+{
+  boost::system::error_code code;
+  mAcceptor.close(code);
+}
+
+task<void>
+listener::AcceptConnections()
+{
+  for (;;) {
+    auto& thread = *mThreads[mNextThread++ % mThreads.size()];
+    auto [code, socket] =
+      co_await mAcceptor.async_accept(thread.Context(), kAsTuple);
+    if (code == asio::error::operation_aborted || !mAcceptor.is_open()) {
+      co_return;
+    }
+    if (code) {
+      asio::steady_timer pause(mContext, kAcceptPause);
+      co_await pause.async_wait(kAsTuple);
+      continue;
+    }
+    if (*mOpen >= mMaximumConnections) {
+      mMetrics.CountRefusal(refusal_place::kListener,
+                            core::refusal_reason::kTooManyConnections);
+      continue;
+    }
+    ++*mOpen;
+    auto serve = [open = mOpen, serveOne = mServe, &thread](
+                   tcp::socket aSocket) -> task<void> {
+      auto const counter = open;
+      co_await serveOne(thread, std::move(aSocket));
+      --*counter;
+    };
+    auto const shared = std::make_shared<tcp::socket>(std::move(socket));
+    thread.Post([&thread, shared, serve] {
+      asio::co_spawn(
+        thread.Context(),
+        [shared, serve]() -> task<void> {
+          auto const run = serve;
+          co_await run(std::move(*shared));
+        },
+        asio::detached);
+    });
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "LibDaemon/CallServer.h"
+#include "LibDaemon/HttpServer.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace cranberryfold::daemon {
+
+/// What all traffic threads share.
+struct shared_services
+{
+  daemon_settings const& mSettings;
+  traffic_policy& mPolicy;
+  metrics& mMetrics;
+  permit_exchange& mPermits;
+  request_counter& mRequests;
+};
+
+/// One thread that carries calls: its event loop, its links to peers and its
+/// connections to the upstream.
+class traffic_thread
+{
+public:
+  explicit traffic_thread(shared_services aShared);
+  ~traffic_thread();
+
+  void Start();
+  /// Runs aFunction on the thread.
+  void Post(std::function<void()> aFunction);
+  void Stop();
+
+  asio::io_context& Context() { return mContext; }
+  link_pool& Links() { return mLinks; }
+  incoming_services& Incoming() { return mIncoming; }
+  http_services& Http() { return mHttp; }
+  void SetPeerHooks(call_server_hooks aHooks) { mHooks = std::move(aHooks); }
+  call_server_hooks const& PeerHooks() const { return mHooks; }
+
+private:
+  asio::io_context mContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> mWork;
+  link_pool mLinks;
+  upstream_pool mUpstreams;
+  incoming_services mIncoming;
+  outgoing_services mOutgoing;
+  http_services mHttp;
+  call_server_hooks mHooks;
+  std::thread mThread;
+};
+
+/// Accepts connections on one address and hands them to the traffic threads in
+/// turn. Connections beyond the limit are closed and counted.
+class listener
+{
+public:
+  using serve_function =
+    std::function<task<void>(traffic_thread&, tcp::socket)>;
+
+  listener(asio::io_context& aContext,
+           std::vector<std::unique_ptr<traffic_thread>>& aThreads,
+           metrics& aMetrics,
+           std::size_t aMaximumConnections,
+           serve_function aServe);
+
+  /// Fails with kUnreachable.
+  core::result<void> Open(core::address const& aAddress);
+  void Close();
+
+private:
+  task<void> AcceptConnections();
+
+  asio::io_context& mContext;
+  std::vector<std::unique_ptr<traffic_thread>>& mThreads;
+  metrics& mMetrics;
+  std::size_t mMaximumConnections;
+  serve_function mServe;
+  tcp::acceptor mAcceptor;
+  std::shared_ptr<std::atomic<std::size_t>> mOpen;
+  std::size_t mNextThread = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -0,0 +1,104 @@
+#include "LibDaemon/UpstreamClient.h"
+
+#include <boost/beast/http.hpp>
+
+namespace cranberryfold::daemon {
+
+namespace {
+
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+
+constexpr auto kConnectTimeout = 1s;
+constexpr auto kHealthTimeout = 2s;
+constexpr std::size_t kMaximumIdle = 64;
+constexpr unsigned kHttpVersion = 11;
+
+/// An idle connection has nothing to read; bytes or an end mean that the
+/// upstream has closed it.
+bool
+IsStillIdle(tcp::socket& aSocket)
+{
+  boost::system::error_code code;
+  aSocket.non_blocking(true, code);
+  char byte = 0;
+  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+  return code == asio::error::would_block;
+}
+
+task<std::shared_ptr<upstream_connection>>
+OpenConnection(asio::any_io_executor aExecutor, core::address aUpstream)
+{
+  auto const endpoint = ToEndpoint<tcp>(aUpstream);
+  if (!endpoint) {
+    co_return nullptr;
+  }
+  auto connection = std::make_shared<upstream_connection>(
+    upstream_connection{ boost::beast::tcp_stream(aExecutor), {} });
+  connection->mStream.expires_after(kConnectTimeout);
+  auto const [code] =
+    co_await connection->mStream.async_connect(*endpoint, kAsTuple);
+  if (code) {
+    co_return nullptr;
+  }
+  boost::system::error_code ignored;
+  connection->mStream.socket().set_option(tcp::no_delay(true), ignored);
+  co_return connection;
+}
+
+}
+
+upstream_pool::upstream_pool(asio::any_io_executor aExecutor,
+                             core::address aUpstream)
+  : mExecutor(std::move(aExecutor))
+  , mUpstream(std::move(aUpstream))
+{
+}
+
+task<std::shared_ptr<upstream_connection>>
+upstream_pool::Take()
+{
+  while (!mIdle.empty()) {
+    auto connection = std::move(mIdle.back());
+    mIdle.pop_back();
+    if (IsStillIdle(connection->mStream.socket())) {
+      co_return connection;
+    }
+  }
+  co_return co_await OpenConnection(mExecutor, mUpstream);
+}
+
+void
+upstream_pool::Return(std::shared_ptr<upstream_connection> aConnection)
+{
+  if (mIdle.size() < kMaximumIdle && aConnection->mBuffer.size() == 0) {
+    aConnection->mStream.expires_never();
+    mIdle.push_back(std::move(aConnection));
+  }
+}
+
+task<unsigned>
+CheckHealth(asio::any_io_executor aExecutor,
+            core::address aUpstream,
+            std::string aPath)
+{
+  auto const connection = co_await OpenConnection(aExecutor, aUpstream);
+  if (!connection) {
+    co_return 0;
+  }
+  connection->mStream.expires_after(kHealthTimeout);
+  http::request<http::empty_body> request(http::verb::get, aPath, kHttpVersion);
+  request.set(http::field::host, core::FormatAddress(aUpstream));
+  request.set(http::field::connection, "close");
+  auto const [writeCode, written] =
+    co_await http::async_write(connection->mStream, request, kAsTuple);
+  if (writeCode) {
+    co_return 0;
+  }
+  http::response_parser<http::string_body> parser;
+  auto const [readCode, read] = co_await http::async_read(
+    connection->mStream, connection->mBuffer, parser, kAsTuple);
+  co_return readCode ? 0 : parser.get().result_int();
+}
+
+}
--- a/Libraries/LibTables/TableRules.cpp
+++ b/Libraries/LibTables/TableRules.cpp
@@ -355,31 +355,37 @@
   return row;
 }
 
-core::result<table_set>
-ParseTables(std::string_view aText, std::string const& aFile)
+void
+ReadTables(core::json_reader& aReader, table_set& aOut)
 {
-  table_set parsed;
-  auto reader = core::json_reader::ForText(aText, aFile);
-  reader.Each(
+  aReader.Each(
     "pools",
     presence::kRequired,
-    [&parsed](core::json_reader& aRow) {
+    [&aOut](core::json_reader& aRow) {
       auto row = ReadPool(aRow);
-      if (!parsed.mPools.emplace(row.mName, row).second) {
+      if (!aOut.mPools.emplace(row.mName, row).second) {
         aRow.Reject("name", "a name of its own, found " + row.mName + " twice");
       }
     },
     "Pools, one object for each row.");
-  reader.Each(
+  aReader.Each(
     "routes",
     presence::kRequired,
-    [&parsed](core::json_reader& aRow) {
+    [&aOut](core::json_reader& aRow) {
       auto row = ReadRoute(aRow);
-      if (!parsed.mRoutes.emplace(row.mName, row).second) {
+      if (!aOut.mRoutes.emplace(row.mName, row).second) {
         aRow.Reject("name", "a name of its own, found " + row.mName + " twice");
       }
     },
     "Routes, one object for each row.");
+}
+
+core::result<table_set>
+ParseTables(std::string_view aText, std::string const& aFile)
+{
+  table_set parsed;
+  auto reader = core::json_reader::ForText(aText, aFile);
+  ReadTables(reader, parsed);
   BOOST_LEAF_CHECK(reader.Finish());
   BOOST_LEAF_CHECK(CheckTables(parsed));
   return parsed;
--- a/Libraries/LibTables/TableRules.h
+++ b/Libraries/LibTables/TableRules.h
@@ -24,6 +24,10 @@
 route
 ReadRoute(core::json_reader& aReader);
 
+/// Reads both tables without checking them as a whole.
+void
+ReadTables(core::json_reader& aReader, table_set& aOut);
+
 /// Parses and checks both tables. Fails with kInvalidInput: file, row, field
 /// and what was expected.
 core::result<table_set>
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -31,6 +31,9 @@
 
   void Append(std::string_view aBytes);
 
+  /// Changes the largest payload that is accepted from now on.
+  void SetMaximumBytes(std::size_t aBytes) { mMaximumBytes = aBytes; }
+
   /// Returns the next whole payload, or nothing when more bytes are needed.
   /// Fails with kLimitExceeded on a length beyond the maximum; the stream is
   /// unusable from then on.
--- /dev/null
+++ b/Services/Daemon/Main.cpp
@@ -0,0 +1,75 @@
+#include "LibCore/Log.h"
+#include "LibDaemon/Daemon.h"
+
+#include <cstdio>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "JSON file with the settings of the daemon.");
+DEFINE_bool(check, false, "Check the settings and stop.");
+DEFINE_bool(bootstrap_control,
+            false,
+            "Start a new control group when the data folder is empty. Give it "
+            "once, at the first start of each initial replica: later, an empty "
+            "folder means a lost disk.");
+DEFINE_bool(describe_settings,
+            false,
+            "Print all settings with their ranges and stop.");
+
+namespace {
+
+using namespace cranberryfold;
+
+constexpr int kBadInput = 2;
+constexpr int kCannotStart = 1;
+
+int
+Report(core::error const& aError, int aExitCode)
+{
+  std::fprintf(stderr, "error: %s\n", core::FormatError(aError).c_str());
+  return aExitCode;
+}
+
+int
+PrintSettings()
+{
+  std::printf("| key | expected | default | meaning |\n|---|---|---|---|\n");
+  for (auto const& field : daemon::DescribeSettings()) {
+    std::printf("| `%s` | %s | %s | %s |\n",
+                field.mPath.c_str(),
+                field.mExpected.c_str(),
+                field.mDefault.c_str(),
+                field.mHelp.c_str());
+  }
+  return 0;
+}
+
+}
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  gflags::SetUsageMessage("--settings FILE");
+  gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
+  if (FLAGS_describe_settings) {
+    return PrintSettings();
+  }
+  auto settings =
+    core::Attempt([] { return daemon::LoadSettings(FLAGS_settings); });
+  if (!settings) {
+    return Report(settings.mError, kBadInput);
+  }
+  if (FLAGS_check) {
+    std::printf("%s: settings are valid\n", FLAGS_settings.c_str());
+    return 0;
+  }
+  core::InitializeLog(settings->mLogLevel);
+  daemon::mesh_daemon process(*settings);
+  auto const started =
+    core::Attempt([&] { return process.Start(FLAGS_bootstrap_control); });
+  if (!started) {
+    return Report(started.mError, kCannotStart);
+  }
+  process.Run();
+  return 0;
+}
