LibMembership: Add messages, events, actions and interfaces

The daemon needs the shape of both decision objects before they work. The headers define members and announcements, the messages on the wire, and the events and actions of member_directory and configuration_distributor. Every message carries its sender's peer address, because a stream connection does not show the address to answer to.

--- /dev/null
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "LibCore/Random.h"
+#include "LibCore/Time.h"
+#include "LibMembership/MemberDirectory.h"
+#include "LibMembership/Messages.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+/// Dissemination of the tables to every daemon.
+namespace cranberryfold::membership {
+
+struct distributor_settings
+{
+  contact mOwn;
+  /// Compare revisions with a random peer each second.
+  bool mAntiEntropy = true;
+  /// Push accepted edits through relays and trees.
+  bool mPush = true;
+};
+
+/// The control replica of this daemon has committed tables. Only the leader's
+/// daemon pushes them.
+struct tables_committed
+{
+  core::revision mRevision;
+  std::shared_ptr<tables::table_set const> mTables;
+  bool mIsLeader = false;
+};
+
+/// The peers have changed, as told by member_directory::Peers().
+struct peers_changed
+{
+  peer_set mPeers;
+};
+
+struct configuration_message_received
+{
+  addressed<configuration_message> mMessage;
+};
+
+using distributor_event = std::variant<tick,
+                                       configuration_message_received,
+                                       tables_committed,
+                                       peers_changed>;
+
+/// Tables that are in force from now on.
+struct tables_installed
+{
+  core::revision mRevision;
+  std::uint64_t mHash = 0;
+  std::shared_ptr<tables::table_set const> mTables;
+};
+
+using distributor_action = std::variant<send_message, tables_installed>;
+
+/// Decides on all configuration messages of one daemon. The revision in force
+/// only moves forward.
+class configuration_distributor
+{
+public:
+  configuration_distributor(distributor_settings aSettings,
+                            core::random_source aRandom);
+
+  std::vector<distributor_action> Handle(core::time_point aNow,
+                                         distributor_event const& aEvent);
+
+  core::revision Revision() const { return mRevision; }
+  std::uint64_t Hash() const { return mHash; }
+  std::shared_ptr<tables::table_set const> Tables() const { return mTables; }
+  /// Whether a peer has told its revision since the start and the own one is
+  /// not behind it.
+  bool IsCaughtUp() const;
+  /// Approximate size of all containers in bytes.
+  std::size_t MemoryBytes() const;
+
+private:
+  struct context;
+
+  void On(context& aContext, tick const& aEvent);
+  void On(context& aContext, configuration_message_received const& aEvent);
+  void On(context& aContext, tables_committed const& aEvent);
+  void On(context& aContext, peers_changed const& aEvent);
+
+  void On(context& aContext,
+          contact const& aFrom,
+          configuration_deltas const& aMessage);
+  void On(context& aContext,
+          contact const& aFrom,
+          configuration_digest const& aMessage);
+  void On(context& aContext,
+          contact const& aFrom,
+          configuration_request const& aMessage);
+  void On(context& aContext,
+          contact const& aFrom,
+          configuration_snapshot const& aMessage);
+
+  bool ApplyDelta(table_delta const& aDelta);
+  void Install(context& aContext,
+               core::revision aRevision,
+               std::uint64_t aHash,
+               std::shared_ptr<tables::table_set const> aTables);
+  void CheckSameContent(core::revision aRevision, std::uint64_t aHash) const;
+  void Remember(table_delta aDelta);
+  std::vector<table_delta> DeltasAfter(core::revision aRevision) const;
+  void Compare(context& aContext);
+  void RequestFrom(context& aContext, contact const& aPeer);
+  void PushFromLeader(context& aContext, std::vector<table_delta> aDeltas);
+  void PushToRange(context& aContext,
+                   std::vector<table_delta> const& aDeltas,
+                   tree_range const& aRange);
+  void Send(context& aContext,
+            core::address const& aTo,
+            configuration_message aMessage);
+  configuration_digest OwnDigest(bool aWantsAnswer) const;
+  bool IsRelay() const;
+
+  distributor_settings mSettings;
+  core::random_source mRandom;
+  core::revision mRevision;
+  std::uint64_t mHash = 0;
+  std::shared_ptr<tables::table_set const> mTables;
+  std::deque<table_delta> mHistory;
+  peer_set mPeers;
+  std::optional<core::time_point> mNextCompare;
+  core::time_point mRequestExpires;
+  bool mHeardPeer = false;
+  core::revision mHighestHeard;
+};
+
+}
