LibMembership: Add the member directory and the configuration distributor

First working form of both decision objects. The directory keeps one record per member, judged through the state chart member_state; it probes a ring neighbour and a random member each second, pushes news to three random peers, compares digests with zone peers, relays and seeds, and marks zones unreachable by the reports of the zone's relays.

--- /dev/null
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -0,0 +1,385 @@
+#include "LibMembership/ConfigurationDistributor.h"
+
+#include "LibCore/Assert.h"
+#include "LibMembership/Codec.h"
+#include "LibMembership/DisseminationTree.h"
+#include "LibMembership/UpdateQueue.h"
+#include "LibTables/TableRules.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryfold::membership {
+
+namespace {
+
+constexpr core::duration kCompareInterval = std::chrono::seconds(1);
+/// Time after which an unanswered request may be made again.
+constexpr core::duration kRequestTimeout = std::chrono::seconds(1);
+/// Deltas kept for peers that are behind: at 5,000 edits a day, they bridge a
+/// partition of more than two hours.
+constexpr std::size_t kHistoryLength = 512;
+/// Peers asked at the start, so that a lost datagram does not cost a second.
+constexpr std::size_t kStartPeers = 3;
+
+}
+
+configuration_distributor::configuration_distributor(
+  distributor_settings aSettings,
+  core::random_source aRandom)
+  : mSettings(std::move(aSettings))
+  , mRandom(aRandom)
+  , mTables(std::make_shared<tables::table_set const>())
+{
+  mHash = tables::ContentHash(*mTables);
+}
+
+std::vector<distributor_action>
+configuration_distributor::Handle(core::time_point aNow,
+                                  distributor_event const& aEvent)
+{
+  mNow = aNow;
+  std::visit([this](auto const& aTyped) { On(aTyped); }, aEvent);
+  return std::exchange(mActions, {});
+}
+
+bool
+configuration_distributor::IsCaughtUp() const
+{
+  return mHeardPeer && mRevision >= mHighestHeard;
+}
+
+void
+configuration_distributor::On(tick const& /*aEvent*/)
+{
+  if (!mSettings.mAntiEntropy) {
+    return;
+  }
+  if (!mNextCompare) {
+    auto const phase =
+      mRandom.Below(static_cast<std::uint64_t>(kCompareInterval.count()));
+    mNextCompare = mNow + core::duration(static_cast<std::int64_t>(phase));
+  }
+  if (mNow >= *mNextCompare) {
+    mNextCompare = std::max(*mNextCompare + kCompareInterval, mNow);
+    Compare();
+  }
+}
+
+void
+configuration_distributor::On(configuration_message_received const& aEvent)
+{
+  auto const& from = aEvent.mMessage.mFrom;
+  if (from.mInstance == mSettings.mOwn.mInstance) {
+    return;
+  }
+  std::visit([&](auto const& aMessage) { On(from, aMessage); },
+             aEvent.mMessage.mBody);
+}
+
+void
+configuration_distributor::On(tables_committed const& aEvent)
+{
+  auto const hash = tables::ContentHash(*aEvent.mTables);
+  auto const before = mRevision;
+  CheckSameContent(aEvent.mRevision, hash);
+  if (aEvent.mRevision <= before) {
+    return;
+  }
+  table_delta delta{ aEvent.mRevision,
+                     hash,
+                     tables::CompareTables(*mTables, *aEvent.mTables) };
+  bool const isNext = aEvent.mRevision.mValue == before.mValue + 1;
+  Install(aEvent.mRevision, hash, aEvent.mTables);
+  if (isNext) {
+    Remember(std::move(delta));
+  }
+  if (aEvent.mIsLeader && mSettings.mPush) {
+    PushToRelays(before);
+  }
+}
+
+void
+configuration_distributor::On(peers_changed const& aEvent)
+{
+  bool const isFirst = mPeers.mZonePeers.empty();
+  mPeers = aEvent.mPeers;
+  if (!isFirst || mHeardPeer || !mSettings.mAntiEntropy) {
+    return;
+  }
+  for (auto const& peer :
+       detail::PickRandom(mPeers.mZonePeers, kStartPeers, mRandom)) {
+    Send(peer.mAddress, OwnDigest(true));
+  }
+}
+
+void
+configuration_distributor::On(contact const& aFrom,
+                              configuration_deltas const& aMessage)
+{
+  if (aMessage.mRange) {
+    SendDown(aMessage, *aMessage.mRange);
+  }
+  mRequestExpires = mNow;
+  auto const before = mRevision;
+  for (auto const& delta : aMessage.mDeltas) {
+    mHighestHeard = std::max(mHighestHeard, delta.mRevision);
+    CheckSameContent(delta.mRevision, delta.mHash);
+    bool const isNext = delta.mRevision.mValue == mRevision.mValue + 1;
+    if (isNext && !ApplyDelta(delta)) {
+      break;
+    }
+  }
+  if (mRevision < mHighestHeard) {
+    RequestFrom(aFrom);
+  }
+  if (mRevision > before && !aMessage.mRange) {
+    PushToZone(before);
+  }
+}
+
+void
+configuration_distributor::On(contact const& aFrom,
+                              configuration_digest const& aMessage)
+{
+  mHeardPeer = true;
+  mHighestHeard = std::max(mHighestHeard, aMessage.mRevision);
+  CheckSameContent(aMessage.mRevision, aMessage.mHash);
+  if (aMessage.mRevision > mRevision) {
+    RequestFrom(aFrom);
+  }
+  if (aMessage.mRevision < mRevision || aMessage.mWantsAnswer) {
+    Send(aFrom.mAddress, OwnDigest(false));
+  }
+}
+
+void
+configuration_distributor::On(contact const& aFrom,
+                              configuration_request const& aMessage)
+{
+  if (aMessage.mRevision < mRevision) {
+    Send(aFrom.mAddress, Everything(aMessage.mRevision));
+  }
+}
+
+void
+configuration_distributor::On(contact const& /*aFrom*/,
+                              configuration_snapshot const& aMessage)
+{
+  if (aMessage.mRange) {
+    SendDown(aMessage, *aMessage.mRange);
+  }
+  mRequestExpires = mNow;
+  bool const isIntact = tables::ContentHash(aMessage.mTables) == aMessage.mHash;
+  if (!isIntact) {
+    return;
+  }
+  auto const before = mRevision;
+  mHighestHeard = std::max(mHighestHeard, aMessage.mRevision);
+  CheckSameContent(aMessage.mRevision, aMessage.mHash);
+  if (aMessage.mRevision <= before) {
+    return;
+  }
+  Install(aMessage.mRevision,
+          aMessage.mHash,
+          std::make_shared<tables::table_set const>(aMessage.mTables));
+  if (!aMessage.mRange) {
+    PushToZone(before);
+  }
+}
+
+void
+configuration_distributor::Install(
+  core::revision aRevision,
+  std::uint64_t aHash,
+  std::shared_ptr<tables::table_set const> aTables)
+{
+  CF_ASSERT(aRevision > mRevision, "the revision in force would go back");
+  bool const isNext = aRevision.mValue == mRevision.mValue + 1;
+  mRevision = aRevision;
+  mHash = aHash;
+  mTables = std::move(aTables);
+  if (!isNext) {
+    mHistory.clear();
+  }
+  mActions.emplace_back(tables_installed{ mRevision, mHash, mTables });
+}
+
+bool
+configuration_distributor::ApplyDelta(table_delta const& aDelta)
+{
+  auto changed = core::Attempt(
+    [&] { return tables::ApplyChanges(*mTables, aDelta.mChanges); });
+  // A build with other rules may come to another result; it takes the whole
+  // tables instead.
+  if (!changed || tables::ContentHash(*changed) != aDelta.mHash) {
+    return false;
+  }
+  Install(aDelta.mRevision,
+          aDelta.mHash,
+          std::make_shared<tables::table_set const>(std::move(*changed)));
+  Remember(aDelta);
+  return true;
+}
+
+void
+configuration_distributor::Remember(table_delta aDelta)
+{
+  mHistory.push_back(std::move(aDelta));
+  if (mHistory.size() > kHistoryLength) {
+    mHistory.pop_front();
+  }
+}
+
+bool
+configuration_distributor::HasDeltasAfter(core::revision aRevision) const
+{
+  return !mHistory.empty() &&
+         mHistory.front().mRevision.mValue <= aRevision.mValue + 1;
+}
+
+std::vector<table_delta>
+configuration_distributor::DeltasAfter(core::revision aRevision) const
+{
+  std::vector<table_delta> deltas;
+  for (auto const& delta : mHistory) {
+    if (delta.mRevision > aRevision) {
+      deltas.push_back(delta);
+    }
+  }
+  return deltas;
+}
+
+configuration_message
+configuration_distributor::Everything(core::revision aAfter) const
+{
+  if (HasDeltasAfter(aAfter)) {
+    return configuration_deltas{ DeltasAfter(aAfter), {} };
+  }
+  return configuration_snapshot{ mRevision, mHash, *mTables, {} };
+}
+
+void
+configuration_distributor::CheckSameContent(core::revision aRevision,
+                                            std::uint64_t aHash) const
+{
+  CF_ASSERT(aRevision != mRevision || aHash == mHash,
+            "two contents for revision " + std::to_string(aRevision.mValue));
+}
+
+void
+configuration_distributor::Compare()
+{
+  auto targets = detail::PickRandom(mPeers.mZonePeers, 1, mRandom);
+  if (IsRelay() || mPeers.mZonePeers.empty()) {
+    auto const remote = detail::PickRandom(mPeers.mRemoteRelays, 1, mRandom);
+    targets.insert(targets.end(), remote.begin(), remote.end());
+  }
+  for (auto const& target : targets) {
+    Send(target.mAddress, OwnDigest(!mHeardPeer));
+  }
+}
+
+void
+configuration_distributor::RequestFrom(contact const& aPeer)
+{
+  if (mNow < mRequestExpires) {
+    return;
+  }
+  mRequestExpires = mNow + kRequestTimeout;
+  Send(aPeer.mAddress, configuration_request{ mRevision });
+}
+
+void
+configuration_distributor::PushToRelays(core::revision aBefore)
+{
+  auto const news = Everything(aBefore);
+  for (auto const& relay : mPeers.mRemoteRelays) {
+    Send(relay.mAddress, news);
+  }
+  bool isOwnRelay = false;
+  for (auto const& relay : mPeers.mOwnRelays) {
+    bool const isOwn = relay.mInstance == mSettings.mOwn.mInstance;
+    isOwnRelay = isOwnRelay || isOwn;
+    if (!isOwn) {
+      Send(relay.mAddress, news);
+    }
+  }
+  if (isOwnRelay) {
+    PushToZone(aBefore);
+  }
+}
+
+void
+configuration_distributor::PushToZone(core::revision aBefore)
+{
+  if (!mSettings.mPush || !IsRelay()) {
+    return;
+  }
+  bool const isFirst =
+    mPeers.mOwnRelays.front().mInstance == mSettings.mOwn.mInstance;
+  auto const range = WholeRange(mPeers.mZonePeers, !isFirst);
+  if (range) {
+    std::visit(
+      [&](auto aMessage) {
+        if constexpr (requires { aMessage.mRange; }) {
+          SendDown(std::move(aMessage), *range);
+        }
+      },
+      Everything(aBefore));
+  }
+}
+
+template<class Message>
+void
+configuration_distributor::SendDown(Message aMessage, tree_range const& aRange)
+{
+  for (auto const& branch : SplitRange(mPeers.mZonePeers, aRange)) {
+    aMessage.mRange = branch.mRange;
+    Send(branch.mHead.mAddress, aMessage);
+  }
+}
+
+void
+configuration_distributor::Send(core::address const& aTo,
+                                configuration_message aMessage)
+{
+  mActions.emplace_back(MakeSend(
+    aTo,
+    addressed<configuration_message>{ mSettings.mOwn, std::move(aMessage) }));
+}
+
+configuration_digest
+configuration_distributor::OwnDigest(bool aWantsAnswer) const
+{
+  return { mRevision, mHash, aWantsAnswer };
+}
+
+bool
+configuration_distributor::IsRelay() const
+{
+  return std::any_of(mPeers.mOwnRelays.begin(),
+                     mPeers.mOwnRelays.end(),
+                     [this](contact const& aRelay) {
+                       return aRelay.mInstance == mSettings.mOwn.mInstance;
+                     });
+}
+
+std::size_t
+configuration_distributor::MemoryBytes() const
+{
+  constexpr std::size_t kNodeBytes = 64;
+  // A row and its strings; the sum is a bound for usual names.
+  constexpr std::size_t kChangeBytes = sizeof(tables::change) + 128;
+  std::size_t bytes = sizeof *this;
+  bytes += (mTables->mPools.size() + mTables->mRoutes.size()) *
+           (sizeof(tables::route) + 2 * kNodeBytes + kChangeBytes);
+  for (auto const& delta : mHistory) {
+    bytes += sizeof delta + delta.mChanges.size() * kChangeBytes;
+  }
+  bytes += (mPeers.mZonePeers.capacity() + mPeers.mRemoteRelays.capacity()) *
+           sizeof(contact);
+  return bytes;
+}
+
+}
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -79,43 +79,35 @@
   std::size_t MemoryBytes() const;
 
 private:
-  struct context;
-
-  void On(context& aContext, tick const& aEvent);
-  void On(context& aContext, configuration_message_received const& aEvent);
-  void On(context& aContext, tables_committed const& aEvent);
-  void On(context& aContext, peers_changed const& aEvent);
-
-  void On(context& aContext,
-          contact const& aFrom,
-          configuration_deltas const& aMessage);
-  void On(context& aContext,
-          contact const& aFrom,
-          configuration_digest const& aMessage);
-  void On(context& aContext,
-          contact const& aFrom,
-          configuration_request const& aMessage);
-  void On(context& aContext,
-          contact const& aFrom,
-          configuration_snapshot const& aMessage);
-
-  bool ApplyDelta(table_delta const& aDelta);
-  void Install(context& aContext,
-               core::revision aRevision,
+  // Events.
+  void On(tick const& aEvent);
+  void On(configuration_message_received const& aEvent);
+  void On(tables_committed const& aEvent);
+  void On(peers_changed const& aEvent);
+
+  // Messages.
+  void On(contact const& aFrom, configuration_deltas const& aMessage);
+  void On(contact const& aFrom, configuration_digest const& aMessage);
+  void On(contact const& aFrom, configuration_request const& aMessage);
+  void On(contact const& aFrom, configuration_snapshot const& aMessage);
+
+  void Install(core::revision aRevision,
                std::uint64_t aHash,
                std::shared_ptr<tables::table_set const> aTables);
-  void CheckSameContent(core::revision aRevision, std::uint64_t aHash) const;
+  bool ApplyDelta(table_delta const& aDelta);
   void Remember(table_delta aDelta);
+  bool HasDeltasAfter(core::revision aRevision) const;
   std::vector<table_delta> DeltasAfter(core::revision aRevision) const;
-  void Compare(context& aContext);
-  void RequestFrom(context& aContext, contact const& aPeer);
-  void PushFromLeader(context& aContext, std::vector<table_delta> aDeltas);
-  void PushToRange(context& aContext,
-                   std::vector<table_delta> const& aDeltas,
-                   tree_range const& aRange);
-  void Send(context& aContext,
-            core::address const& aTo,
-            configuration_message aMessage);
+  void CheckSameContent(core::revision aRevision, std::uint64_t aHash) const;
+
+  void Compare();
+  void RequestFrom(contact const& aPeer);
+  void PushToRelays(core::revision aBefore);
+  void PushToZone(core::revision aBefore);
+  configuration_message Everything(core::revision aAfter) const;
+  void Send(core::address const& aTo, configuration_message aMessage);
+  template<class Message>
+  void SendDown(Message aMessage, tree_range const& aRange);
   configuration_digest OwnDigest(bool aWantsAnswer) const;
   bool IsRelay() const;
 
@@ -124,12 +116,15 @@
   core::revision mRevision;
   std::uint64_t mHash = 0;
   std::shared_ptr<tables::table_set const> mTables;
+  /// Consecutive deltas; the last one leads to mRevision.
   std::deque<table_delta> mHistory;
   peer_set mPeers;
-  std::optional<core::time_point> mNextCompare;
-  core::time_point mRequestExpires;
-  bool mHeardPeer = false;
   core::revision mHighestHeard;
+  bool mHeardPeer = false;
+  core::time_point mNow;
+  core::time_point mRequestExpires;
+  std::optional<core::time_point> mNextCompare;
+  std::vector<distributor_action> mActions;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -0,0 +1,472 @@
+#include "LibMembership/DirectoryState.h"
+
+#include "LibMembership/DisseminationTree.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cranberryfold::membership::detail {
+
+namespace {
+
+constexpr core::duration kSweepInterval = std::chrono::seconds(5);
+
+}
+
+directory_state::directory_state(directory_settings aSettings,
+                                 core::random_source aRandom)
+  : mSettings(std::move(aSettings))
+  , mRandom(aRandom)
+  , mOwn(mSettings.mOwn)
+  , mTable(mSettings.mMechanisms.mTombstones)
+  , mDetector(mSettings.mMechanisms.mIndirectProbes)
+  , mOutbox({ mOwn.mInstance, mOwn.mPeerAddress })
+{
+  std::erase(mSettings.mSeeds, mOwn.mPeerAddress);
+  mTable.SetOwn({}, mOwn);
+}
+
+std::vector<directory_action>
+directory_state::Handle(core::time_point aNow, directory_event const& aEvent)
+{
+  mNow = aNow;
+  if (!mLastTick) {
+    mLastTick = aNow;
+    mLastHeard = aNow;
+  }
+  std::visit([this](auto const& aTyped) { On(aTyped); }, aEvent);
+  return mOutbox.Take();
+}
+
+void
+directory_state::On(tick const& /*aEvent*/)
+{
+  NotePause();
+  Probe();
+  ExpireSuspicions();
+  WatchZones();
+  Synchronise();
+  PushDrain();
+  FlushUpdates();
+  Sweep();
+}
+
+void
+directory_state::On(own_state_changed const& aEvent)
+{
+  if (aEvent.mState == mOwn.mLifecycle) {
+    return;
+  }
+  mOwn.mLifecycle = aEvent.mState;
+  bool const isLeaving = aEvent.mState == lifecycle_state::kDraining ||
+                         aEvent.mState == lifecycle_state::kLeft;
+  bool const push = !isLeaving || mSettings.mMechanisms.mDrainPush;
+  PublishOwn({ mOwn.mIncarnation.mValue + 1 }, push);
+  if (isLeaving && mSettings.mMechanisms.mDrainPush) {
+    mDrainPushesLeft = kDrainPushes;
+    mNextDrainPush = mNow;
+    PushDrain();
+    FlushUpdates();
+  }
+}
+
+void
+directory_state::On(work_received const& aEvent)
+{
+  for (auto const& sender : aEvent.mSenders) {
+    mSenders[sender] = mNow;
+  }
+}
+
+void
+directory_state::NotePause()
+{
+  // After a pause of the own process, silence of the others proves nothing.
+  auto const gap = mNow - *mLastTick;
+  mLastTick = mNow;
+  if (gap < kIsolationDelay) {
+    return;
+  }
+  mDetector.Forget();
+  mWatch.Restart(mNow);
+  mLastHeard = mNow;
+  for (auto& [hash, deadline] : mSuspicions) {
+    deadline = mNow + kSuspicionTimeout;
+  }
+}
+
+void
+directory_state::Probe()
+{
+  auto const& roster = OwnRoster();
+  for (auto const& target : mDetector.CheckTimeouts(
+         mNow, mOwn.mInstance, roster, mRandom, mOutbox)) {
+    auto const* const record = mTable.Find(target.mInstance);
+    bool const isAlive =
+      record != nullptr && record->mState == member_state::kAlive;
+    if (isAlive && !DistrustsItself()) {
+      Merge({ record->mAnnouncement, member_state::kSuspect }, spread::kPush);
+    }
+  }
+  for (auto const& probe :
+       mDetector.StartRound(mNow, mOwn.mInstance, OwnRoster(), mRandom)) {
+    mOutbox.Send(probe.mTarget.mAddress,
+                 ping{ probe.mSequence,
+                       probe.mTarget.mInstance,
+                       Piggyback(probe.mTarget.mInstance) });
+  }
+}
+
+void
+directory_state::ExpireSuspicions()
+{
+  std::vector<std::uint64_t> expired;
+  for (auto& [hash, deadline] : mSuspicions) {
+    if (mNow < deadline) {
+      continue;
+    }
+    if (DistrustsItself()) {
+      deadline = mNow + kSuspicionTimeout;
+    } else {
+      expired.push_back(hash);
+    }
+  }
+  for (auto const hash : expired) {
+    mSuspicions.erase(hash);
+    auto const* const record = mTable.FindHash(hash);
+    if (record != nullptr && record->mState == member_state::kSuspect) {
+      Merge({ record->mAnnouncement, member_state::kDead }, spread::kPush);
+    }
+  }
+}
+
+void
+directory_state::WatchZones()
+{
+  auto const relays = OwnRoster().mRelays;
+  if (relays != mKnownRelays) {
+    mKnownRelays = relays;
+    mWatch.KeepReportsOf(relays);
+    mReportsChanged = true;
+  }
+  if (!IsRelay()) {
+    mReported.reset();
+  } else {
+    if (!mReported) {
+      mWatch.Restart(mNow);
+    }
+    auto silent = mWatch.SilentZones(mNow);
+    if (mReported != silent) {
+      PublishReport(std::move(silent));
+    }
+  }
+  if (std::exchange(mReportsChanged, false) && mWatch.Evaluate(relays)) {
+    mOutbox.NoteChange();
+  }
+}
+
+void
+directory_state::PublishReport(std::vector<core::zone_id> aSilent)
+{
+  mReported = aSilent;
+  zone_report report{
+    mOwn.mInstance, mOwn.mIncarnation, ++mReportSequence, std::move(aSilent)
+  };
+  mWatch.MergeReport(report);
+  mReportsChanged = true;
+  auto const range = WholeRange(ZonePeers(), false);
+  if (range) {
+    SendDown({ {}, { std::move(report) }, {} }, *range);
+  }
+}
+
+void
+directory_state::PushDrain()
+{
+  if (mDrainPushesLeft == 0 || mNow < mNextDrainPush) {
+    return;
+  }
+  --mDrainPushesLeft;
+  mNextDrainPush = mNow + kDrainPushInterval;
+  std::set<core::address> receivers;
+  for (auto const& [sender, lastWork] : mSenders) {
+    if (mNow - lastWork <= kSenderMemory) {
+      receivers.insert(sender);
+    }
+  }
+  for (auto const& relay : OwnRoster().mRelays) {
+    receivers.insert(relay.mAddress);
+  }
+  receivers.erase(mOwn.mPeerAddress);
+  update_batch const batch{ { { mOwn, AnnouncedState(mOwn) } }, {}, {} };
+  for (auto const& receiver : receivers) {
+    mOutbox.Send(receiver, batch);
+  }
+}
+
+void
+directory_state::FlushUpdates()
+{
+  auto const pending = mQueue.PendingPushes();
+  if (pending == 0) {
+    return;
+  }
+  auto const peers = ZonePeers();
+  bool const isLarge = pending > kLargeBatch;
+  auto const hashes = mQueue.TakePush(isLarge);
+  update_batch batch{ UpdatesFor(hashes), {}, {} };
+  if (isLarge) {
+    auto const range = WholeRange(peers, false);
+    if (range) {
+      SendDown(batch, *range);
+    }
+  } else {
+    for (auto const& peer : PickRandom(peers, kPushPeers, mRandom)) {
+      mOutbox.Send(peer.mAddress, batch);
+    }
+  }
+  // A relay tells the other zones about its own one at once; the comparison of
+  // digests would take up to a second longer.
+  std::erase_if(batch.mUpdates, [this](member_update const& aUpdate) {
+    return aUpdate.mAnnouncement.mZone != mOwn.mZone;
+  });
+  if (batch.mUpdates.empty() || !ActsAsRelay()) {
+    return;
+  }
+  for (auto const& relay : RemoteRelays()) {
+    mOutbox.Send(relay.mAddress, batch);
+  }
+}
+
+void
+directory_state::Sweep()
+{
+  if (mNow < mNextSweep) {
+    return;
+  }
+  mNextSweep = mNow + kSweepInterval;
+  if (mTable.RemoveExpired(mNow, mOwn.mInstance)) {
+    mOutbox.NoteChange();
+  }
+  std::erase_if(mSenders, [this](auto const& aEntry) {
+    return mNow - aEntry.second > kSenderMemory;
+  });
+  std::erase_if(mPendingDigests, [this](auto const& aEntry) {
+    return mNow - aEntry.second > kSweepInterval;
+  });
+}
+
+bool
+directory_state::Merge(member_update const& aUpdate, spread aSpread)
+{
+  auto const& instance = aUpdate.mAnnouncement.mInstance;
+  if (instance == mOwn.mInstance) {
+    HearAboutSelf(aUpdate);
+    return false;
+  }
+  auto const outcome = mTable.Merge(mNow, aUpdate);
+  if (!outcome.mAccepted) {
+    return false;
+  }
+  mOutbox.NoteChange();
+  auto const hash = InstanceHash(instance);
+  if (outcome.mActions.mStopSuspicion) {
+    mSuspicions.erase(hash);
+  }
+  // Only the member's own zone judges it.
+  if (outcome.mActions.mStartSuspicion &&
+      aUpdate.mAnnouncement.mZone == mOwn.mZone) {
+    mSuspicions[hash] = mNow + kSuspicionTimeout;
+  }
+  if (aSpread == spread::kPush && outcome.mActions.mSpread) {
+    mQueue.Add(hash, OwnRoster().mLive.size(), true);
+  }
+  return true;
+}
+
+std::size_t
+directory_state::MergeAll(std::vector<member_update> const& aUpdates,
+                          spread aSpread)
+{
+  std::vector<std::uint64_t> accepted;
+  for (auto const& update : aUpdates) {
+    if (Merge(update, spread::kNone)) {
+      accepted.push_back(InstanceHash(update.mAnnouncement.mInstance));
+    }
+  }
+  if (aSpread == spread::kPush && !accepted.empty()) {
+    auto const zoneSize = OwnRoster().mLive.size();
+    for (auto const hash : accepted) {
+      mQueue.Add(hash, zoneSize, true);
+    }
+  }
+  return accepted.size();
+}
+
+void
+directory_state::HearAboutSelf(member_update const& aUpdate)
+{
+  auto const& heard = aUpdate.mAnnouncement;
+  bool const isStale = heard.mIncarnation < mOwn.mIncarnation;
+  bool const isSame = heard == mOwn && aUpdate.mState == AnnouncedState(mOwn);
+  if (isStale || isSame || !mSettings.mMechanisms.mRefutation) {
+    return;
+  }
+  PublishOwn({ heard.mIncarnation.mValue + 1 }, true);
+}
+
+void
+directory_state::PublishOwn(core::incarnation aIncarnation, bool aPush)
+{
+  mOwn.mIncarnation = aIncarnation;
+  mTable.SetOwn(mNow, mOwn);
+  mQueue.Add(InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), aPush);
+  mOutbox.NoteChange();
+}
+
+std::vector<member>
+directory_state::Members() const
+{
+  std::vector<member> members;
+  auto const& chart = member_chart::BuiltIn();
+  for (auto const& [hash, record] : mTable.Records()) {
+    auto state = record.mState;
+    auto const& zone = record.mAnnouncement.mZone;
+    if (zone != mOwn.mZone && !mWatch.IsReachable(zone)) {
+      auto const& step = chart.Next(state, member_event::kZoneLost);
+      state = step ? step->mTarget : state;
+    }
+    members.push_back({ record.mAnnouncement, state });
+  }
+  std::sort(members.begin(),
+            members.end(),
+            [](member const& aLeft, member const& aRight) {
+              return aLeft.mAnnouncement.mInstance <
+                     aRight.mAnnouncement.mInstance;
+            });
+  return members;
+}
+
+peer_set
+directory_state::Peers() const
+{
+  return { ZonePeers(), RemoteRelays(), OwnRoster().mRelays };
+}
+
+std::vector<contact>
+directory_state::ZonePeers() const
+{
+  auto peers = OwnRoster().mLive;
+  std::erase_if(peers, [this](contact const& aPeer) {
+    return aPeer.mInstance == mOwn.mInstance;
+  });
+  return peers;
+}
+
+std::vector<contact>
+directory_state::RemoteRelays() const
+{
+  std::vector<contact> relays;
+  for (auto const& zone : mTable.Zones()) {
+    if (zone != mOwn.mZone) {
+      auto const& roster = mTable.Roster(zone);
+      relays.insert(relays.end(), roster.mRelays.begin(), roster.mRelays.end());
+    }
+  }
+  return relays;
+}
+
+bool
+directory_state::IsRelay() const
+{
+  auto const& relays = OwnRoster().mRelays;
+  return std::any_of(
+    relays.begin(), relays.end(), [this](contact const& aRelay) {
+      return aRelay.mInstance == mOwn.mInstance;
+    });
+}
+
+bool
+directory_state::HasSeeds() const
+{
+  return !mSettings.mSeeds.empty();
+}
+
+bool
+directory_state::IsIsolated() const
+{
+  return mNow - mLastHeard >= kIsolationDelay;
+}
+
+bool
+directory_state::DistrustsItself() const
+{
+  return mSettings.mMechanisms.mIsolationGuard && IsIsolated();
+}
+
+bool
+directory_state::ActsAsRelay() const
+{
+  return IsRelay() || IsIsolated() || OwnRoster().mLive.size() <= 1;
+}
+
+bool
+directory_state::IsZonePeer(contact const& aContact) const
+{
+  auto const* const record = mTable.Find(aContact.mInstance);
+  return record != nullptr && record->mAnnouncement.mZone == mOwn.mZone;
+}
+
+bool
+directory_state::IsSettled() const
+{
+  return !HasSeeds() || (mJoinedAt && mNow - *mJoinedAt >= kSettleTime);
+}
+
+std::vector<member_update>
+directory_state::UpdatesFor(std::vector<std::uint64_t> const& aHashes) const
+{
+  std::vector<member_update> updates;
+  for (auto const hash : aHashes) {
+    auto const* const record = mTable.FindHash(hash);
+    if (record != nullptr) {
+      updates.push_back(record->Update());
+    }
+  }
+  return updates;
+}
+
+std::vector<member_update>
+directory_state::Piggyback(core::instance_id const& aReceiver)
+{
+  auto updates = UpdatesFor(mQueue.TakePiggyback());
+  // The receiver learns of a suspicion against it, so that it can refute.
+  auto const* const record = mTable.Find(aReceiver);
+  bool const isDoubted =
+    record != nullptr &&
+    record->mState != AnnouncedState(record->mAnnouncement);
+  if (isDoubted) {
+    updates.push_back(record->Update());
+  }
+  return updates;
+}
+
+void
+directory_state::SendDown(update_batch aBatch, tree_range const& aRange)
+{
+  for (auto const& branch : SplitRange(ZonePeers(), aRange)) {
+    aBatch.mRange = branch.mRange;
+    mOutbox.Send(branch.mHead.mAddress, aBatch);
+  }
+}
+
+std::size_t
+directory_state::MemoryBytes() const
+{
+  constexpr std::size_t kNodeBytes = 64;
+  return sizeof *this + mTable.MemoryBytes() + mQueue.MemoryBytes() +
+         (mSuspicions.size() + mSenders.size() + mPendingDigests.size()) *
+           kNodeBytes;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibMembership/MemberChart.h"
+#include "LibMembership/Messages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+/// All known members with their versions, zone digests and tombstones.
+namespace cranberryfold::membership {
+
+/// Time after which a dead or departed member is removed.
+inline constexpr core::duration kRemovalDelay = std::chrono::minutes(10);
+/// Time for which a removed member's incarnation is refused; longer than any
+/// partition that can hide the removal from a peer.
+inline constexpr core::duration kTombstoneLifetime = std::chrono::hours(24);
+inline constexpr std::size_t kRelaysPerZone = 2;
+
+struct member_record
+{
+  announcement mAnnouncement;
+  member_state mState = member_state::kAlive;
+  core::time_point mStateSince;
+
+  member_update Update() const { return { mAnnouncement, mState }; }
+};
+
+/// The live members of one zone, computed from the records.
+struct zone_roster
+{
+  /// Sorted by instance.
+  std::vector<contact> mLive;
+  /// Live members in order of the hash of their ids; failures that hit
+  /// neighbouring ids at once are spread over this ring.
+  std::vector<contact> mRing;
+  std::vector<contact> mRelays;
+};
+
+struct merge_outcome
+{
+  bool mAccepted = false;
+  chart_actions mActions;
+};
+
+class member_table
+{
+public:
+  explicit member_table(bool aTombstones);
+
+  /// Takes an update over when it is newer than what is recorded.
+  merge_outcome Merge(core::time_point aNow, member_update const& aUpdate);
+
+  /// Replaces the own record; its incarnation only rises.
+  void SetOwn(core::time_point aNow, announcement const& aOwn);
+
+  member_record const* Find(core::instance_id const& aInstance) const;
+  member_record const* FindHash(std::uint64_t aInstanceHash) const;
+  /// Returns the incarnation up to which a removed member is refused.
+  std::optional<core::incarnation> Tombstone(
+    core::instance_id const& aInstance) const;
+  std::optional<removal> TombstoneHash(std::uint64_t aInstanceHash) const;
+  std::map<std::uint64_t, member_record> const& Records() const
+  {
+    return mRecords;
+  }
+
+  std::vector<zone_digest> Digests() const;
+  zone_summary Summary(core::zone_id const& aZone) const;
+  std::vector<core::zone_id> Zones() const;
+  zone_roster const& Roster(core::zone_id const& aZone) const;
+
+  /// Removes a dead or departed member up to an incarnation.
+  bool Remove(core::time_point aNow, removal const& aRemoval);
+  /// Removes what has been dead or gone for kRemovalDelay, except for aOwn.
+  /// Returns whether there was something to remove.
+  bool RemoveExpired(core::time_point aNow, core::instance_id const& aOwn);
+
+  std::size_t MemoryBytes() const;
+
+private:
+  struct zone_totals
+  {
+    std::uint32_t mCount = 0;
+    std::uint64_t mHash = 0;
+    /// Computed when it is needed; a change of the zone resets it.
+    mutable std::optional<zone_roster> mRoster;
+  };
+
+  struct tombstone
+  {
+    removal mRemoval;
+    core::time_point mSince;
+  };
+
+  void Count(std::uint64_t aHash, member_record const& aRecord, int aSign);
+  zone_roster ComputeRoster(core::zone_id const& aZone) const;
+
+  bool mUseTombstones;
+  std::map<std::uint64_t, member_record> mRecords;
+  std::map<core::zone_id, zone_totals> mZones;
+  std::map<std::uint64_t, tombstone> mTombstones;
+};
+
+/// Returns the key of a member in entry_version and member_table.
+std::uint64_t
+InstanceHash(core::instance_id const& aInstance);
+
+/// Whether version A replaces version B of the same member.
+bool
+IsNewer(core::incarnation aIncarnationA,
+        member_state aStateA,
+        core::incarnation aIncarnationB,
+        member_state aStateB);
+
+}
--- a/Libraries/LibMembership/Messages.h
+++ b/Libraries/LibMembership/Messages.h
@@ -189,6 +189,7 @@
   core::revision mRevision;
   std::uint64_t mHash = 0;
   tables::table_set mTables;
+  std::optional<tree_range> mRange;
 
   bool operator==(configuration_snapshot const&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibMembership/Outbox.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "LibMembership/Codec.h"
+#include "LibMembership/MemberDirectory.h"
+
+#include <utility>
+#include <vector>
+
+/// Collects the actions of one Handle() call of the directory.
+namespace cranberryfold::membership::detail {
+
+class outbox
+{
+public:
+  explicit outbox(contact aOwn)
+    : mOwn(std::move(aOwn))
+  {
+  }
+
+  void Send(core::address const& aTo, member_message aMessage)
+  {
+    mActions.emplace_back(
+      MakeSend(aTo, addressed<member_message>{ mOwn, std::move(aMessage) }));
+  }
+
+  void NoteChange() { mChanged = true; }
+
+  std::vector<directory_action> Take()
+  {
+    if (std::exchange(mChanged, false)) {
+      mActions.emplace_back(members_changed{});
+    }
+    return std::exchange(mActions, {});
+  }
+
+private:
+  contact mOwn;
+  std::vector<directory_action> mActions;
+  bool mChanged = false;
+};
+
+}
