--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -26,6 +26,24 @@
                           : retry_reason::kIdempotentLost;
 }
 
+/// Refusals that hold for the call as such, wherever it is sent.
+bool
+IsFinal(core::refusal_reason aReason)
+{
+  switch (aReason) {
+    case core::refusal_reason::kSenderCutOff:
+    case core::refusal_reason::kNoUpstream:
+    case core::refusal_reason::kDeadlineExceeded:
+    case core::refusal_reason::kQuarantined:
+    case core::refusal_reason::kClaimHeld:
+    case core::refusal_reason::kTooDeep:
+    case core::refusal_reason::kTooLarge:
+      return true;
+    default:
+      return false;
+  }
+}
+
 /// Jitter over the whole range, so that retries of a burst spread out.
 core::duration
 Backoff(std::uint32_t aAttempts, core::random_source& aRandom)
@@ -122,6 +140,10 @@
   if (aFacts.mOutcome == outcome::kRan) {
     return std::nullopt;
   }
+  if (aFacts.mOutcome == outcome::kNotRun && aFacts.mRefusal &&
+      IsFinal(*aFacts.mRefusal)) {
+    return std::nullopt;
+  }
   if (aFacts.mOutcome == outcome::kUnknown && !aFacts.mIdempotent) {
     return retry_decision{ retry_reason::kRefusedNotSafe, std::nullopt };
   }
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -79,6 +79,8 @@
 struct retry_facts
 {
   outcome mOutcome = outcome::kUnknown;
+  /// Why the attempt was refused or lost.
+  std::optional<core::refusal_reason> mRefusal;
   bool mIdempotent = false;
   /// The attempt ran into its time limit rather than into a broken connection.
   bool mTimedOut = false;
@@ -98,7 +100,8 @@
 };
 
 /// Decides on a further attempt, apart from the permit, which the root daemon
-/// is asked for when mBackoff is set. Takes a token from aRatio.
+/// is asked for when mBackoff is set. Takes a token from aRatio. Returns nothing
+/// when no retry comes into question: the call ran, or would be refused again.
 std::optional<retry_decision>
 DecideRetry(retry_facts const& aFacts,
             retry_ratio& aRatio,
