--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -183,6 +183,7 @@
     counts.mUsefulDeepWork += aAccount.mDeepWork;
   } else {
     counts.mWastedWork += aAccount.mWork;
+    counts.mWastedDeepWork += aAccount.mDeepWork;
   }
 }
 
--- a/Utilities/RandomRun/OverloadReport.cpp
+++ b/Utilities/RandomRun/OverloadReport.cpp
@@ -196,6 +196,11 @@
     return kPercent *
            Ratio(counts.mWastedWork, counts.mWastedWork + counts.mUsefulWork);
   });
+  print("wasted deep work, %", [&](run_phase aPhase) {
+    auto const& counts = Of(aPhase);
+    return kPercent * Ratio(counts.mWastedDeepWork,
+                            counts.mWastedDeepWork + counts.mUsefulDeepWork);
+  });
   print("p99 of served tries, ms",
         [&](run_phase aPhase) { return LatencyP99(aPhase); });
 }
--- a/Utilities/RandomRun/OverloadReport.h
+++ b/Utilities/RandomRun/OverloadReport.h
@@ -54,6 +54,7 @@
   double mUsefulWork = 0;
   double mWastedWork = 0;
   double mUsefulDeepWork = 0;
+  double mWastedDeepWork = 0;
   std::vector<core::duration> mLatencies;
   std::array<std::uint64_t, core::kRefusalReasonCount> mRefusals{};
   std::array<std::uint64_t, core::kRetryReasonCount> mRetries{};
--- a/Utilities/RandomRun/OverloadServer.cpp
+++ b/Utilities/RandomRun/OverloadServer.cpp
@@ -197,14 +197,16 @@
                          double aWork)
 {
   auto& account = *aEntry.mCall.mAccount;
+  bool const deep =
+    mNodes.at(aEntry.mNode)->mService == mShape.DeepService();
   if (account.mEnded) {
-    mReport.At(aNow).mWastedWork += aWork;
+    auto& counts = mReport.At(aNow);
+    counts.mWastedWork += aWork;
+    counts.mWastedDeepWork += deep ? aWork : 0;
     return;
   }
   account.mWork += aWork;
-  if (mNodes.at(aEntry.mNode)->mService == mShape.DeepService()) {
-    account.mDeepWork += aWork;
-  }
+  account.mDeepWork += deep ? aWork : 0;
 }
 
 double
