LibTraffic: Compare latencies of the new limit only

A trial of a smaller limit compared calls that had begun under the larger one, so most trials failed and the limit stayed at the slots. Samples from before the change are now skipped, and an accepted latency is tested again after a while.

--- a/Libraries/LibTraffic/AdmissionLimit.cpp
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -17,6 +17,7 @@
 /// Between unchanged latency and latency that fell as much as the limit.
 constexpr double kTrialGain = (1 + kShrink) / 2;
 constexpr double kBaselineDrift = 0.1;
+constexpr double kBaselineDecay = 0.98;
 constexpr double kSlowGrowth = 0.1;
 constexpr double kFastGrowth = 0.3;
 /// Share of the slots that a cold upstream starts with.
@@ -73,6 +74,11 @@
                           core::duration aLatency,
                           std::uint32_t aInFlight)
 {
+  // Calls from before the last change of the limit still show the competition
+  // of that time.
+  if (aNow - aLatency < mLimitChanged) {
+    return;
+  }
   mWindow.mLatencySum += static_cast<double>(aLatency.count());
   ++mWindow.mCalls;
   if (aInFlight >= kBusyShare * Limit(aNow)) {
@@ -85,6 +91,10 @@
   mWindow = { aNow };
   CloseWindow(closed.mLatencySum / closed.mCalls,
               2 * closed.mBusyCalls > closed.mCalls);
+  if (mLimit != mLimitOfWindow) {
+    mLimitChanged = aNow;
+    mLimitOfWindow = mLimit;
+  }
 }
 
 void
@@ -108,6 +118,8 @@
   }
   if (aLatency <= kCompetition * mBaseline) {
     Grow(aLatency);
+    // An accepted latency is put to the test again from time to time.
+    mBaseline *= kBaselineDecay;
     return;
   }
   if (mLimit > 1) {
--- a/Libraries/LibTraffic/AdmissionLimit.h
+++ b/Libraries/LibTraffic/AdmissionLimit.h
@@ -64,6 +64,8 @@
   tables::pool_objective mObjective = tables::pool_objective::kGoodput;
   double mSlots = 1;
   double mLimit = 1;
+  double mLimitOfWindow = 1;
+  core::time_point mLimitChanged;
   core::duration mColdStart{};
   std::optional<core::time_point> mRestarted;
   /// Microseconds; 0 before the first window.
