LibDaemon: Do not take a pending body for a write error

Cause: beast reports need_buffer between parts of a streamed body; writes of chunks and refusals now share one check.

--- a/Libraries/LibDaemon/AdminApi.cpp
+++ b/Libraries/LibDaemon/AdminApi.cpp
@@ -96,13 +96,12 @@
 {
   std::string body;
   bool isTooLarge = false;
-  auto const read =
-    co_await aExchange.ReadBody([&](std::string_view aBytes) {
-      isTooLarge = isTooLarge || body.size() + aBytes.size() > kMaximumBodyBytes;
-      if (!isTooLarge) {
-        body += aBytes;
-      }
-    });
+  auto const read = co_await aExchange.ReadBody([&](std::string_view aBytes) {
+    isTooLarge = isTooLarge || body.size() + aBytes.size() > kMaximumBodyBytes;
+    if (!isTooLarge) {
+      body += aBytes;
+    }
+  });
   if (!read) {
     co_return;
   }
@@ -191,11 +190,11 @@
   if (mControl.Replica() == nullptr) {
     co_return NotLeader();
   }
-  auto const answer = co_await AwaitRead(mContext, *mControl.Replica(),
-                                         kControlTimeout);
+  auto const answer =
+    co_await AwaitRead(mContext, *mControl.Replica(), kControlTimeout);
   if (!answer || answer->mStale) {
-    bool const knowsLeader = answer && answer->mLeader &&
-                             *answer->mLeader != mSettings.mInstance;
+    bool const knowsLeader =
+      answer && answer->mLeader && *answer->mLeader != mSettings.mInstance;
     if (knowsLeader) {
       co_return NotLeader();
     }
@@ -205,16 +204,14 @@
         { "error", "no majority of control replicas confirmed the read" } });
   }
   co_return JsonResponse(
-    kOk,
-    TablesJson(answer->mRevision, answer->mHash, false, answer->mTables));
+    kOk, TablesJson(answer->mRevision, answer->mHash, false, answer->mTables));
 }
 
 http::response
 admin_api::NotLeader() const
 {
   json::array candidates;
-  auto const* const replica =
-    const_cast<admin_api*>(this)->mControl.Replica();
+  auto const* const replica = const_cast<admin_api*>(this)->mControl.Replica();
   auto const leader =
     replica ? replica->Status().mLeader : std::optional<core::instance_id>{};
   for (auto const& member : mControl.Members()) {
@@ -230,8 +227,7 @@
     }
   }
   return JsonResponse(
-    kMisdirected,
-    { { "result", "not_leader" }, { "candidates", candidates } });
+    kMisdirected, { { "result", "not_leader" }, { "candidates", candidates } });
 }
 
 task<http::response>
@@ -240,25 +236,25 @@
   if (mControl.Replica() == nullptr) {
     co_return NotLeader();
   }
-  auto const current = co_await AwaitRead(mContext, *mControl.Replica(),
-                                          kControlTimeout);
+  auto const current =
+    co_await AwaitRead(mContext, *mControl.Replica(), kControlTimeout);
   auto const tables = current ? current->mTables : tables::table_set{};
-  auto edit =
-    core::Attempt([&] { return ParseEditRequest(aBody, tables); });
+  auto edit = core::Attempt([&] { return ParseEditRequest(aBody, tables); });
   if (edit && current && current->mRevision < edit->mBase) {
     // The changes were computed against tables older than the edit's base.
     co_return JsonResponse(kUnavailable,
                            { { "result", "not_caught_up" },
-                             { "error", "the base revision is newer than the "
-                                        "tables of this replica" } });
+                             { "error",
+                               "the base revision is newer than the "
+                               "tables of this replica" } });
   }
   if (!edit) {
-    co_return JsonResponse(kBadRequest,
-                           { { "result", "invalid" },
-                             { "error", edit.mError.mDetail } });
+    co_return JsonResponse(
+      kBadRequest,
+      { { "result", "invalid" }, { "error", edit.mError.mDetail } });
   }
-  auto const answer = co_await AwaitEdit(
-    mContext, *mControl.Replica(), *edit, kControlTimeout);
+  auto const answer =
+    co_await AwaitEdit(mContext, *mControl.Replica(), *edit, kControlTimeout);
   if (answer.mStatus == control::edit_status::kNotLeader) {
     co_return NotLeader();
   }
@@ -292,8 +288,8 @@
     auto const status = replica->Status();
     json::array group;
     for (auto const& [instance, member] : status.mGroup) {
-      group.push_back({ { "instance", instance.mValue },
-                        { "voter", member.mVoter } });
+      group.push_back(
+        { { "instance", instance.mValue }, { "voter", member.mVoter } });
     }
     control = {
       { "role", control::ReplicaRoleName(status.mRole) },
@@ -303,15 +299,14 @@
       { "stale", !status.mLeaseValid },
     };
   }
-  return JsonResponse(
-    kOk,
-    { { "instance", mSettings.mInstance.mValue },
-      { "zone", mSettings.mZone.mValue },
-      { "region", mSettings.mRegion.mValue },
-      { "state", mState() },
-      { "revision", configuration.Revision().mValue },
-      { "hash", FormatHash(configuration.Hash()) },
-      { "control", control } });
+  return JsonResponse(kOk,
+                      { { "instance", mSettings.mInstance.mValue },
+                        { "zone", mSettings.mZone.mValue },
+                        { "region", mSettings.mRegion.mValue },
+                        { "state", mState() },
+                        { "revision", configuration.Revision().mValue },
+                        { "hash", FormatHash(configuration.Hash()) },
+                        { "control", control } });
 }
 
 http::response
@@ -351,8 +346,9 @@
   }
   json::array problems;
   if (serving == 0) {
-    problems.push_back("no upstream of service " +
-                       json::string(pool.mService.mValue) + " is serving");
+    auto const text =
+      "no upstream of service " + pool.mService.mValue + " is serving";
+    problems.push_back(json::string(text));
   }
   return JsonResponse(kOk,
                       { { "route", formatted.at("routes").at(0) },
--- a/Libraries/LibDaemon/AdminEdits.cpp
+++ b/Libraries/LibDaemon/AdminEdits.cpp
@@ -119,16 +119,13 @@
   bool const hasTables = reader.Object(
     "tables",
     presence::kOptional,
-    [&wanted](json_reader& aNested) {
-      tables::ReadTables(aNested, wanted);
-    },
+    [&wanted](json_reader& aNested) { tables::ReadTables(aNested, wanted); },
     "Both tables as they shall be.");
   BOOST_LEAF_CHECK(reader.Finish());
   if (hasTables) {
     BOOST_LEAF_CHECK(tables::CheckTables(wanted));
     auto const changes = tables::CompareTables(aCurrent, wanted);
-    edit.mChanges.insert(
-      edit.mChanges.end(), changes.begin(), changes.end());
+    edit.mChanges.insert(edit.mChanges.end(), changes.begin(), changes.end());
   }
   return edit;
 }
@@ -166,9 +163,8 @@
           tables::edit aEdit,
           core::duration aTimeout)
 {
-  auto const pending =
-    std::make_shared<pending_answer<control::edit_answer>>(
-      aContext.get_executor());
+  auto const pending = std::make_shared<pending_answer<control::edit_answer>>(
+    aContext.get_executor());
   aReplica.SubmitEdit(
     std::move(aEdit),
     [pending](control::edit_answer const& aAnswer) { pending->Set(aAnswer); });
@@ -181,9 +177,8 @@
           replica_host& aReplica,
           core::duration aTimeout)
 {
-  auto const pending =
-    std::make_shared<pending_answer<control::answer_read>>(
-      aContext.get_executor());
+  auto const pending = std::make_shared<pending_answer<control::answer_read>>(
+    aContext.get_executor());
   aReplica.Read(true, [pending](control::answer_read const& aAnswer) {
     pending->Set(aAnswer);
   });
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -71,8 +71,8 @@
 core::random_source
 Seeded(daemon_settings const& aSettings, std::uint64_t aSalt)
 {
-  return core::random_source(core::Hash64(
-    aSettings.mInstance.mValue, StartIncarnation().mValue + aSalt));
+  return core::random_source(core::Hash64(aSettings.mInstance.mValue,
+                                          StartIncarnation().mValue + aSalt));
 }
 
 routing_member
@@ -108,12 +108,11 @@
   , mMetrics(aMetrics)
   , mOnView(std::move(aOnView))
   , mTimer(aContext)
-  , mTransport(aContext.get_executor(),
-               ControlHello(aSettings),
-               aMetrics,
-               [this](control_envelope aEnvelope) {
-                 OnEnvelope(std::move(aEnvelope));
-               })
+  , mTransport(
+      aContext.get_executor(),
+      ControlHello(aSettings),
+      aMetrics,
+      [this](control_envelope aEnvelope) { OnEnvelope(std::move(aEnvelope)); })
   , mDirectory(DirectorySettings(aSettings), Seeded(aSettings, 1))
   , mDistributor(DistributorSettings(aSettings), Seeded(aSettings, 2))
 {
@@ -189,8 +188,8 @@
     return;
   }
   if (aEnvelope.mTopic == control_topic::kReplica) {
-    auto message = core::Attempt(
-      [&] { return control::DecodeMessage(aEnvelope.mPayload); });
+    auto message =
+      core::Attempt([&] { return control::DecodeMessage(aEnvelope.mPayload); });
     if (message && mReplica) {
       mReplica->OnMessage(std::move(*message));
     }
@@ -204,8 +203,7 @@
     return;
   }
   using member_news = membership::addressed<membership::member_message>;
-  using table_news =
-    membership::addressed<membership::configuration_message>;
+  using table_news = membership::addressed<membership::configuration_message>;
   if (auto const* const news = std::get_if<member_news>(&*message)) {
     HandleDirectory(membership::member_message_received{ *news });
   } else {
@@ -264,8 +262,7 @@
   auto const address = mReplica->AddressOf(aTo);
   if (address) {
     mTransport.SendStream(
-      *address,
-      { control_topic::kReplica, control::EncodeMessage(aMessage) });
+      *address, { control_topic::kReplica, control::EncodeMessage(aMessage) });
   }
 }
 
--- a/Libraries/LibDaemon/ControlTransport.cpp
+++ b/Libraries/LibDaemon/ControlTransport.cpp
@@ -104,8 +104,7 @@
   }
   boost::system::error_code code;
   mSocket.non_blocking(true, code);
-  mSocket.send_to(
-    asio::buffer(EncodeEnvelope(aEnvelope)), *endpoint, 0, code);
+  mSocket.send_to(asio::buffer(EncodeEnvelope(aEnvelope)), *endpoint, 0, code);
 }
 
 void
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -56,12 +56,9 @@
              [this](std::shared_ptr<routing_view const> aView) {
                mPolicy.SetView(Now(), std::move(aView));
              })
-  , mAdmin(mContext,
-           mSettings,
-           mControl,
-           mPolicy,
-           mMetrics,
-           [this] { return mLifecycle->State(); })
+  , mAdmin(mContext, mSettings, mControl, mPolicy, mMetrics, [this] {
+    return mLifecycle->State();
+  })
 {
   shared_services const shared{
     mSettings, mPolicy, mMetrics, mPermits, mRequests
@@ -103,11 +100,10 @@
         return ServeHttp(
           aThread.Http(), listener_kind::kEgress, std::move(aSocket));
       });
-  add(mSettings.mPeerAddress,
-      [](traffic_thread& aThread, tcp::socket aSocket) {
-        return ServePeer(
-          aThread.Incoming(), aThread.PeerHooks(), std::move(aSocket));
-      });
+  add(mSettings.mPeerAddress, [](traffic_thread& aThread, tcp::socket aSocket) {
+    return ServePeer(
+      aThread.Incoming(), aThread.PeerHooks(), std::move(aSocket));
+  });
 }
 
 call_server_hooks
@@ -149,9 +145,8 @@
   auto const& request = std::get<permit_request>(*message);
   permit_answer const answer{ request.mId,
                               mPolicy.TakePermit(Now(), request.mRequest) };
-  aThread.Links().To(aPeer).Send(
-    traffic_message{ traffic_topic::kRetryPermits,
-                     EncodePermitMessage(answer) });
+  aThread.Links().To(aPeer).Send(traffic_message{
+    traffic_topic::kRetryPermits, EncodePermitMessage(answer) });
 }
 
 core::result<void>
@@ -288,8 +283,7 @@
   asio::steady_timer pause(mContext);
   for (;;) {
     auto const now = Now();
-    bool const isIdle =
-      mPolicy.CallsInFlight() == 0 && mRequests.load() == 0;
+    bool const isIdle = mPolicy.CallsInFlight() == 0 && mRequests.load() == 0;
     if (isIdle && now >= started + kLeastDrainTime) {
       mLifecycle->Fire("idle");
       co_return;
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -48,6 +48,13 @@
            : http::status::bad_gateway;
 }
 
+/// Beast reports as an error that it wants the next part of the body.
+bool
+IsWritten(beast::error_code aCode)
+{
+  return !aCode || aCode == http::error::need_buffer;
+}
+
 std::string
 MakeRequestId(core::instance_id const& aInstance)
 {
@@ -334,7 +341,7 @@
     mSerializer.emplace(*mAnswer);
     auto const [code, size] =
       co_await http::async_write_header(mStream, *mSerializer, kAsTuple);
-    co_return !code;
+    co_return IsWritten(code);
   }
 
   task<bool> WriteChunk(std::string_view aBytes, bool aIsLast)
@@ -346,7 +353,7 @@
     mAnswer->body().more = !aIsLast;
     auto const [code, size] =
       co_await http::async_write(mStream, *mSerializer, kAsTuple);
-    co_return !code || code == http::error::need_buffer;
+    co_return IsWritten(code);
   }
 
   static void SetField(http::fields& aFields,
@@ -380,7 +387,7 @@
     response.prepare_payload();
     auto const [code, size] =
       co_await http::async_write(mStream, response, kAsTuple);
-    co_return !code && keepAlive;
+    co_return IsWritten(code) && keepAlive;
   }
 
   static constexpr auto kReaderStopPoll = 5ms;
--- a/Libraries/LibDaemon/ReplicaHost.cpp
+++ b/Libraries/LibDaemon/ReplicaHost.cpp
@@ -59,10 +59,9 @@
     aBootstrap &&
     std::filesystem::is_empty(mSettings.mControl->mDataFolder, ignored);
   auto const state =
-    isNewGroup
-      ? control::InitialState(mSettings.mInstance,
-                              InitialGroup(*mSettings.mControl))
-      : control::EmptyState(mSettings.mInstance, NewIncarnation());
+    isNewGroup ? control::InitialState(mSettings.mInstance,
+                                       InitialGroup(*mSettings.mControl))
+               : control::EmptyState(mSettings.mInstance, NewIncarnation());
   core::LogWarning(isNewGroup ? "control_group_started" : "control_disk_lost")
     .Field("folder", mSettings.mControl->mDataFolder)
     .Field("reason", outcome.mLostReason);
@@ -78,8 +77,8 @@
   for (auto const& member : mSettings.mControl->mInitialGroup) {
     options.mContacts.push_back(member.mInstance);
   }
-  auto const seed = core::Hash64(mSettings.mInstance.mValue,
-                                 NewIncarnation().mValue);
+  auto const seed =
+    core::Hash64(mSettings.mInstance.mValue, NewIncarnation().mValue);
   BOOST_LEAF_AUTO(created,
                   control::replica::Create(options, std::move(state), seed));
   mReplica = std::move(created);
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -34,8 +34,12 @@
                aShared.mPolicy,
                aShared.mMetrics,
                mUpstreams }
-  , mOutgoing{ mContext.get_executor(), aShared.mSettings, aShared.mPolicy,
-               aShared.mMetrics,        mLinks,            aShared.mPermits }
+  , mOutgoing{ mContext.get_executor(),
+               aShared.mSettings,
+               aShared.mPolicy,
+               aShared.mMetrics,
+               mLinks,
+               aShared.mPermits }
   , mHttp{ mOutgoing, aShared.mRequests }
 {
 }
