--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -32,6 +32,13 @@
   /// Returns true with the given probability, from 0 to 1.
   bool Chance(double aProbability) { return Fraction() < aProbability; }
 
+  /// Draws from a distribution of Boost.Random.
+  template<class Distribution>
+  auto Draw(Distribution aDistribution)
+  {
+    return aDistribution(mEngine);
+  }
+
 private:
   boost::random::mt19937_64 mEngine;
 };
