--- a/Libraries/LibControl/AppliedState.h
+++ b/Libraries/LibControl/AppliedState.h
@@ -52,5 +52,7 @@
 /// Returns whether aPayload changes the group.
 bool
 ChangesGroup(entry_payload const& aPayload);
+bool
+ChangesGroup(tables::edit const& aEdit);
 
 }
--- a/Libraries/LibControl/Codec.h
+++ b/Libraries/LibControl/Codec.h
@@ -29,7 +29,7 @@
 /// The content of a snapshot file.
 struct stored_snapshot
 {
-  /// Sequence of the write_snapshot action; the journal file that follows the
+  /// Counts the snapshots of a data directory; the journal file that follows a
   /// snapshot carries the same number.
   std::uint64_t mGeneration = 0;
   hard_state mHardState;
--- /dev/null
+++ b/Libraries/LibControl/FileJournal.cpp
@@ -0,0 +1,300 @@
+#include "LibControl/FileJournal.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace cranberryfold::control {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> kFileNames = { "identity",
+                                                         "snapshot",
+                                                         "journal" };
+constexpr mode_t kFileMode = 0644;
+
+boost::leaf::error_id
+StorageError(std::string aStep, std::string aPath, int aErrno)
+{
+  return core::Fail({ core::error_code::kStorage,
+                      std::move(aStep),
+                      std::move(aPath),
+                      std::strerror(aErrno) });
+}
+
+/// Closes a file at the end of a scope.
+class open_file
+{
+public:
+  explicit open_file(int aFile)
+    : mFile(aFile)
+  {
+  }
+  ~open_file()
+  {
+    if (mFile >= 0) {
+      ::close(mFile);
+    }
+  }
+  open_file(open_file const&) = delete;
+  open_file& operator=(open_file const&) = delete;
+
+  int Number() const { return mFile; }
+
+private:
+  int mFile;
+};
+
+/// Returns the content of a file, or nothing when there is none.
+core::result<std::optional<std::string>>
+ReadFile(std::string const& aPath)
+{
+  open_file const file(::open(aPath.c_str(), O_RDONLY | O_CLOEXEC));
+  if (file.Number() < 0 && errno == ENOENT) {
+    return std::optional<std::string>{};
+  }
+  if (file.Number() < 0) {
+    return StorageError("open_file", aPath, errno);
+  }
+  std::string content;
+  std::array<char, 65536> buffer{};
+  while (true) {
+    auto const size = ::read(file.Number(), buffer.data(), buffer.size());
+    if (size < 0 && errno == EINTR) {
+      continue;
+    }
+    if (size < 0) {
+      return StorageError("read_file", aPath, errno);
+    }
+    if (size == 0) {
+      return std::optional(std::move(content));
+    }
+    content.append(buffer.data(), static_cast<std::size_t>(size));
+  }
+}
+
+}
+
+file_journal::file_journal(std::string aDirectory, file_hooks aHooks)
+  : mDirectory(std::move(aDirectory))
+  , mHooks(std::move(aHooks))
+{
+}
+
+file_journal::~file_journal()
+{
+  CloseJournal();
+}
+
+void
+file_journal::CloseJournal()
+{
+  if (mJournal >= 0) {
+    ::close(mJournal);
+    mJournal = -1;
+  }
+}
+
+std::string
+file_journal::PathOf(std::string_view aName) const
+{
+  return mDirectory + "/" + std::string(aName);
+}
+
+core::result<load_outcome>
+file_journal::Load()
+{
+  CloseJournal();
+  struct stat attributes
+  {};
+  if (::stat(mDirectory.c_str(), &attributes) != 0) {
+    return StorageError("open_directory", mDirectory, errno);
+  }
+  if (!S_ISDIR(attributes.st_mode)) {
+    return StorageError("open_directory", mDirectory, ENOTDIR);
+  }
+  directory_image image;
+  BOOST_LEAF_ASSIGN(image.mIdentity, ReadFile(PathOf("identity")));
+  BOOST_LEAF_ASSIGN(image.mSnapshot, ReadFile(PathOf("snapshot")));
+  BOOST_LEAF_ASSIGN(image.mJournal, ReadFile(PathOf("journal")));
+  auto outcome = InterpretDirectory(image);
+  if (!outcome.mState) {
+    return outcome;
+  }
+  mGeneration = outcome.mGeneration;
+  if (outcome.mJournalOutdated) {
+    BOOST_LEAF_CHECK(ReplaceFile("journal", JournalStart(mGeneration)));
+  }
+  BOOST_LEAF_CHECK(OpenJournal());
+  if (!outcome.mJournalOutdated &&
+      outcome.mJournalBytes < image.mJournal->size()) {
+    BOOST_LEAF_CHECK(TruncateJournal(outcome.mJournalBytes));
+  }
+  return outcome;
+}
+
+core::result<void>
+file_journal::TruncateJournal(std::size_t aSize)
+{
+  auto const path = PathOf("journal");
+  if (::ftruncate(mJournal, static_cast<off_t>(aSize)) != 0) {
+    return StorageError("truncate_journal", path, errno);
+  }
+  return Sync(mJournal, path);
+}
+
+core::result<void>
+file_journal::Reset(recovered_state const& aState)
+{
+  CloseJournal();
+  BOOST_LEAF_CHECK(KeepOldFiles());
+  mGeneration = 0;
+  BOOST_LEAF_CHECK(
+    Store({ 0, aState.mHardState, aState.mSnapshot, aState.mEntries }));
+  // Written last: without it the directory still counts as lost.
+  return ReplaceFile("identity", FrameBytes(EncodeIdentity(aState.mIdentity)));
+}
+
+core::result<void>
+file_journal::KeepOldFiles()
+{
+  for (auto const name : kFileNames) {
+    auto const path = PathOf(name);
+    if (::rename(path.c_str(), (path + ".lost").c_str()) != 0 &&
+        errno != ENOENT) {
+      return StorageError("rename_file", path, errno);
+    }
+    // The identity goes first; later ones must not reach the disk before it.
+    BOOST_LEAF_CHECK(SyncDirectory());
+  }
+  return {};
+}
+
+core::result<void>
+file_journal::Append(append_journal const& aRecords)
+{
+  if (mJournal < 0) {
+    return StorageError("append_journal", PathOf("journal"), EBADF);
+  }
+  std::string bytes;
+  for (auto const& record : aRecords.mRecords) {
+    bytes += FrameRecord(record);
+  }
+  auto const path = PathOf("journal");
+  auto outcome = WriteAll(mJournal, path, bytes);
+  if (outcome) {
+    outcome = Sync(mJournal, path);
+  }
+  if (!outcome) {
+    // Appending after a record that may be incomplete would damage the journal.
+    CloseJournal();
+  }
+  return outcome;
+}
+
+core::result<void>
+file_journal::WriteSnapshot(write_snapshot const& aSnapshot)
+{
+  return Store({ mGeneration + 1,
+                 aSnapshot.mHardState,
+                 aSnapshot.mSnapshot,
+                 aSnapshot.mEntries });
+}
+
+core::result<void>
+file_journal::Store(stored_snapshot const& aSnapshot)
+{
+  // Stays closed on an error, since the old journal may be outdated by then.
+  CloseJournal();
+  // After a crash between the two files the journal carries the number of the
+  // snapshot before, and is ignored.
+  BOOST_LEAF_CHECK(
+    ReplaceFile("snapshot", FrameBytes(EncodeSnapshot(aSnapshot))));
+  mGeneration = aSnapshot.mGeneration;
+  BOOST_LEAF_CHECK(ReplaceFile("journal", JournalStart(mGeneration)));
+  return OpenJournal();
+}
+
+core::result<void>
+file_journal::ReplaceFile(std::string const& aName, std::string_view aBytes)
+{
+  auto const path = PathOf(aName);
+  auto const newPath = path + ".new";
+  open_file const file(::open(
+    newPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode));
+  if (file.Number() < 0) {
+    return StorageError("create_file", newPath, errno);
+  }
+  BOOST_LEAF_CHECK(WriteAll(file.Number(), newPath, aBytes));
+  BOOST_LEAF_CHECK(Sync(file.Number(), newPath));
+  if (::rename(newPath.c_str(), path.c_str()) != 0) {
+    return StorageError("rename_file", newPath, errno);
+  }
+  return SyncDirectory();
+}
+
+core::result<void>
+file_journal::SyncDirectory()
+{
+  open_file const directory(
+    ::open(mDirectory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (directory.Number() < 0) {
+    return StorageError("open_directory", mDirectory, errno);
+  }
+  return Sync(directory.Number(), mDirectory);
+}
+
+core::result<void>
+file_journal::OpenJournal()
+{
+  CloseJournal();
+  auto const path = PathOf("journal");
+  mJournal = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (mJournal < 0) {
+    return StorageError("open_journal", path, errno);
+  }
+  return {};
+}
+
+core::result<void>
+file_journal::WriteAll(int aFile,
+                       std::string const& aPath,
+                       std::string_view aBytes)
+{
+  int const failure =
+    mHooks.mBeforeWrite ? mHooks.mBeforeWrite(aPath, aBytes.size()) : 0;
+  if (failure != 0) {
+    return StorageError("write_file", aPath, failure);
+  }
+  while (!aBytes.empty()) {
+    auto const written = ::write(aFile, aBytes.data(), aBytes.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written < 0) {
+      return StorageError("write_file", aPath, errno);
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return {};
+}
+
+core::result<void>
+file_journal::Sync(int aFile, std::string const& aPath)
+{
+  int const failure = mHooks.mBeforeSync ? mHooks.mBeforeSync(aPath) : 0;
+  if (failure != 0) {
+    return StorageError("sync_file", aPath, failure);
+  }
+  if (::fsync(aFile) != 0) {
+    return StorageError("sync_file", aPath, errno);
+  }
+  return {};
+}
+
+}
--- a/Libraries/LibControl/FileJournal.h
+++ b/Libraries/LibControl/FileJournal.h
@@ -51,6 +51,7 @@
   core::result<void> KeepOldFiles();
   core::result<void> SyncDirectory();
   core::result<void> OpenJournal();
+  core::result<void> TruncateJournal(std::size_t aSize);
   core::result<void> Store(stored_snapshot const& aSnapshot);
   core::result<void> WriteAll(int aFile,
                               std::string const& aPath,
--- /dev/null
+++ b/Libraries/LibControl/JournalImage.cpp
@@ -0,0 +1,235 @@
+#include "LibControl/JournalImage.h"
+
+#include "LibCore/Hash.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstring>
+
+namespace cranberryfold::control {
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kHeaderBytes = 16;
+constexpr std::size_t kEndBytes = 1;
+/// Not zero, so that unwritten blocks cannot pass for the end of a record.
+constexpr char kEndByte = '\x5A';
+/// File systems lose unsynced data in whole blocks of at least this size.
+constexpr std::size_t kBlockBytes = 512;
+
+struct frame_header
+{
+  std::uint32_t mLength = 0;
+  std::uint32_t mLengthCheck = 0;
+  std::uint64_t mPayloadCheck = 0;
+};
+static_assert(sizeof(frame_header) == kHeaderBytes);
+
+std::uint32_t
+LengthCheck(std::uint32_t aLength)
+{
+  std::string bytes(kLengthBytes, '\0');
+  std::memcpy(bytes.data(), &aLength, kLengthBytes);
+  return static_cast<std::uint32_t>(core::Hash64(bytes, kHeaderBytes));
+}
+
+bool
+IsZero(std::string_view aBytes)
+{
+  return std::all_of(
+    aBytes.begin(), aBytes.end(), [](char aByte) { return aByte == '\0'; });
+}
+
+enum class frame_state
+{
+  kComplete,
+  /// The end of the file was not written completely.
+  kTorn,
+  kDamaged,
+};
+
+struct parsed_frame
+{
+  frame_state mState = frame_state::kDamaged;
+  std::string_view mPayload;
+  std::size_t mSize = 0;
+};
+
+/// Returns whether the blocks at the end of the file were never written.
+bool
+EndsUnwritten(std::string_view aBytes, std::size_t aStart)
+{
+  auto const block = (aBytes.size() - 1) / kBlockBytes * kBlockBytes;
+  return block > aStart && IsZero(aBytes.substr(block));
+}
+
+parsed_frame
+ParseFrame(std::string_view aBytes, std::size_t aStart)
+{
+  auto const rest = aBytes.substr(aStart);
+  if (rest.size() < kHeaderBytes) {
+    return { frame_state::kTorn, {}, 0 };
+  }
+  frame_header header;
+  std::memcpy(&header, rest.data(), kHeaderBytes);
+  if (header.mLengthCheck != LengthCheck(header.mLength)) {
+    auto const state =
+      IsZero(rest) ? frame_state::kTorn : frame_state::kDamaged;
+    return { state, {}, 0 };
+  }
+  auto const size = kHeaderBytes + header.mLength + kEndBytes;
+  if (size > rest.size()) {
+    return { frame_state::kTorn, {}, 0 };
+  }
+  auto const payload = rest.substr(kHeaderBytes, header.mLength);
+  if (core::Hash64(payload) == header.mPayloadCheck &&
+      rest[size - kEndBytes] == kEndByte) {
+    return { frame_state::kComplete, payload, size };
+  }
+  bool const torn = size == rest.size() && EndsUnwritten(aBytes, aStart);
+  return { torn ? frame_state::kTorn : frame_state::kDamaged, {}, 0 };
+}
+
+load_outcome
+Lost(std::string aReason)
+{
+  load_outcome outcome;
+  outcome.mLostReason = std::move(aReason);
+  return outcome;
+}
+
+template<class Value, class Decoder>
+std::optional<Value>
+DecodeFile(std::optional<std::string> const& aFile, Decoder const& aDecode)
+{
+  auto const payload = aFile ? UnframeBytes(*aFile) : std::nullopt;
+  if (!payload) {
+    return std::nullopt;
+  }
+  auto decoded = core::Attempt([&] { return aDecode(*payload); });
+  return decoded.mValue;
+}
+
+load_outcome
+InterpretJournal(recovered_state aState,
+                 std::uint64_t aGeneration,
+                 journal_content const& aJournal)
+{
+  load_outcome outcome;
+  outcome.mGeneration = aGeneration;
+  outcome.mJournalBytes = aJournal.mValidBytes;
+  if (aJournal.mDamaged || aJournal.mGeneration > aGeneration) {
+    return Lost("the journal is damaged");
+  }
+  outcome.mJournalOutdated = aJournal.mGeneration < aGeneration;
+  if (!outcome.mJournalOutdated) {
+    for (auto const& record : aJournal.mRecords) {
+      if (!ReplayRecord(aState, record)) {
+        return Lost("the journal has a record that does not fit");
+      }
+    }
+  }
+  outcome.mState = std::move(aState);
+  return outcome;
+}
+
+}
+
+std::string
+FrameBytes(std::string_view aPayload)
+{
+  auto const length = static_cast<std::uint32_t>(aPayload.size());
+  frame_header const header{ length,
+                             LengthCheck(length),
+                             core::Hash64(aPayload) };
+  std::string frame(kHeaderBytes, '\0');
+  std::memcpy(frame.data(), &header, kHeaderBytes);
+  frame += aPayload;
+  frame += kEndByte;
+  return frame;
+}
+
+std::optional<std::string>
+UnframeBytes(std::string_view aBytes)
+{
+  auto const frame = ParseFrame(aBytes, 0);
+  if (frame.mState != frame_state::kComplete || frame.mSize != aBytes.size()) {
+    return std::nullopt;
+  }
+  return std::string(frame.mPayload);
+}
+
+std::string
+JournalStart(std::uint64_t aGeneration)
+{
+  std::string payload(sizeof aGeneration, '\0');
+  std::memcpy(payload.data(), &aGeneration, sizeof aGeneration);
+  return FrameBytes(payload);
+}
+
+std::string
+FrameRecord(journal_record const& aRecord)
+{
+  return FrameBytes(EncodeRecord(aRecord));
+}
+
+journal_content
+ParseJournal(std::string_view aBytes)
+{
+  journal_content content;
+  auto const start = ParseFrame(aBytes, 0);
+  // The file is renamed into place with its start, which is never torn.
+  if (start.mState != frame_state::kComplete ||
+      start.mPayload.size() != sizeof content.mGeneration) {
+    content.mDamaged = true;
+    return content;
+  }
+  std::memcpy(
+    &content.mGeneration, start.mPayload.data(), sizeof content.mGeneration);
+  content.mValidBytes = start.mSize;
+  while (content.mValidBytes < aBytes.size()) {
+    auto const frame = ParseFrame(aBytes, content.mValidBytes);
+    if (frame.mState == frame_state::kTorn) {
+      return content;
+    }
+    auto record = core::Attempt([&] { return DecodeRecord(frame.mPayload); });
+    if (frame.mState == frame_state::kDamaged || !record) {
+      content.mDamaged = true;
+      return content;
+    }
+    content.mRecords.push_back(std::move(*record));
+    content.mValidBytes += frame.mSize;
+  }
+  return content;
+}
+
+load_outcome
+InterpretDirectory(directory_image const& aImage)
+{
+  if (!aImage.mIdentity && !aImage.mSnapshot && !aImage.mJournal) {
+    return Lost("the data directory is empty");
+  }
+  auto identity =
+    DecodeFile<replica_identity>(aImage.mIdentity, DecodeIdentity);
+  if (!identity) {
+    return Lost("the replica identity is missing or damaged");
+  }
+  auto stored = DecodeFile<stored_snapshot>(aImage.mSnapshot, DecodeSnapshot);
+  if (!stored) {
+    return Lost("the snapshot is missing or damaged");
+  }
+  if (!aImage.mJournal) {
+    return Lost("the journal is missing");
+  }
+  recovered_state state{ std::move(*identity),
+                         std::move(stored->mHardState),
+                         std::move(stored->mSnapshot),
+                         std::move(stored->mEntries),
+                         0 };
+  state.mCommitted = state.mSnapshot.mIndex;
+  return InterpretJournal(
+    std::move(state), stored->mGeneration, ParseJournal(*aImage.mJournal));
+}
+
+}
--- a/Libraries/LibControl/Replica.h
+++ b/Libraries/LibControl/Replica.h
@@ -15,6 +15,8 @@
 namespace cranberryfold::control {
 
 inline constexpr core::duration kTickInterval = std::chrono::milliseconds(20);
+/// Most members of a control group.
+inline constexpr std::size_t kMaximumReplicas = 7;
 
 /// Protections that a randomised run can switch off to show that it then fails.
 /// The daemon leaves all of them on.
@@ -73,6 +75,8 @@
   core::revision mRevision;
   replica_identity mIdentity;
   replica_group mGroup;
+  /// Set while a change of the group is not committed yet.
+  bool mGroupChanging = false;
 
   bool operator==(replica_status const&) const = default;
 };
@@ -112,10 +116,10 @@
     log_index mNext = 1;
     log_index mMatch = 0;
     /// When the newest acknowledged request was sent, by the leader's time.
-    core::time_point mAcknowledged{};
+    core::time_point mAcknowledged = core::time_point::min();
+    core::time_point mNextSnapshot = core::time_point::min();
     /// Set for a replica that asked to be admitted.
     bool mJoining = false;
-    core::time_point mJoinedAt{};
     /// The leader's last index when it joined.
     log_index mJoinTarget = 0;
   };
@@ -129,7 +133,7 @@
   struct pending_edit
   {
     log_index mIndex = 0;
-    std::vector<submission_id> mSubmissions;
+    submission_id mSubmission;
   };
 
   replica(replica_options aOptions,
@@ -138,6 +142,8 @@
   core::result<void> BindChart();
 
   void On(tick const& aEvent);
+  void TickLeader();
+  void AskToJoin();
   void On(message_received const& aEvent);
   void On(edit_submitted const& aEvent);
   void On(read_requested const& aEvent);
@@ -161,6 +167,7 @@
   void ObserveTerm(term_number aTerm);
   void ResetElectionTimer();
   bool LeaderMayBeAlive() const;
+  bool MayVote() const;
   bool IsUpToDate(log_index aLastIndex, term_number aLastTerm) const;
 
   // Replication (ReplicaReplication.cpp).
@@ -169,6 +176,16 @@
   void OnBody(message const& aMessage, snapshot_transfer const& aBody);
   void OnBody(message const& aMessage, join_request const& aBody);
   void FollowLeader(message const& aMessage);
+  std::optional<log_index> RetryIndex(append_request const& aBody) const;
+  void InstallSnapshot(snapshot const& aSnapshot);
+  void WriteSnapshot();
+  void TruncateFrom(log_index aIndex);
+  /// Returns false for a life that is over; starts anew for a later one.
+  bool MatchIncarnation(peer_progress& aProgress,
+                        core::incarnation aIncarnation);
+  void UpdateProgress(core::instance_id const& aPeer,
+                      peer_progress& aProgress,
+                      append_response const& aBody);
   void StoreEntries(std::vector<log_entry> const& aEntries);
   void Broadcast();
   void SendEntries(core::instance_id const& aTo, peer_progress& aProgress);
@@ -184,17 +201,28 @@
 
   // Edits and reads (ReplicaEdits.cpp).
   void ProcessWaitingEdits();
+  bool CanEvaluateEdit() const;
   void EvaluateEdit(edit_submitted const& aEvent);
   std::optional<edit_answer> RefuseEdit(tables::edit const& aEdit) const;
+  std::optional<edit_answer> RefuseChanges(tables::edit const& aEdit) const;
   std::optional<std::string> GroupChangeProblem(
     tables::edit const& aEdit) const;
-  void AnswerPendingEdit(edit_answer const& aAnswer);
+  /// Names what keeps the group from confirming edits once aEdit is in force.
+  std::optional<std::string> MajorityProblem(tables::edit const& aEdit) const;
+  /// Whether a trusted replica answered within the lease.
+  bool Answers(core::instance_id const& aInstance) const;
+  std::optional<std::string> RemovalProblem(
+    core::instance_id const& aInstance) const;
+  std::optional<std::string> AdditionProblem(
+    core::instance_id const& aInstance) const;
+  void AnswerCommittedEdit();
   void AnswerWaitingEdits(edit_status aStatus);
   void AnswerConfirmedReads();
   void AnswerAllReadsStale();
   void AnswerRead(read_id aRead, bool aStale);
   void AnswerEdit(submission_id aSubmission, edit_answer aAnswer);
   edit_answer PlainAnswer(edit_status aStatus, std::string aReason) const;
+  edit_answer ConflictAnswer(core::revision aBase) const;
   void AnnounceTables();
 
   // Group and journal.
--- /dev/null
+++ b/Libraries/LibControl/ReplicaEdits.cpp
@@ -0,0 +1,330 @@
+#include "LibControl/Replica.h"
+
+#include "LibTables/TableRules.h"
+
+#include <utility>
+
+namespace cranberryfold::control {
+
+void
+replica::On(edit_submitted const& aEvent)
+{
+  if (!TakesPart()) {
+    AnswerEdit(aEvent.mSubmission,
+               PlainAnswer(edit_status::kStorageFailed,
+                           "this replica cannot write to its disk"));
+    return;
+  }
+  if (!IsLeader()) {
+    AnswerEdit(
+      aEvent.mSubmission,
+      PlainAnswer(edit_status::kNotLeader, "this replica is not the leader"));
+    return;
+  }
+  bool const isolated =
+    !LeaseValid(mNow) && mNow >= mLeadingSince + mOptions.mLease;
+  if (isolated || mWaitingEdits.size() >= mOptions.mMaximumWaitingEdits) {
+    AnswerEdit(aEvent.mSubmission,
+               PlainAnswer(edit_status::kNoMajority,
+                           isolated ? "no majority of replicas answers"
+                                    : "too many edits are waiting"));
+    return;
+  }
+  mWaitingEdits.push_back(aEvent);
+  ProcessWaitingEdits();
+}
+
+void
+replica::ProcessWaitingEdits()
+{
+  while (CanEvaluateEdit()) {
+    auto const next = std::move(mWaitingEdits.front());
+    mWaitingEdits.pop_front();
+    EvaluateEdit(next);
+  }
+}
+
+bool
+replica::CanEvaluateEdit() const
+{
+  if (!IsLeader() || mWaitingEdits.empty() || mPendingEdit ||
+      mCommitted < mTermStartIndex || !LeaseValid(mNow)) {
+    return false;
+  }
+  return !ChangesGroup(mWaitingEdits.front().mEdit) || !GroupChangeInFlight();
+}
+
+void
+replica::EvaluateEdit(edit_submitted const& aEvent)
+{
+  if (auto refusal = RefuseEdit(aEvent.mEdit)) {
+    AnswerEdit(aEvent.mSubmission, std::move(*refusal));
+    return;
+  }
+  // Set first, since the append may commit at once.
+  mPendingEdit = pending_edit{ mLog.LastIndex() + 1, aEvent.mSubmission };
+  AppendOwn(edit_entry{ aEvent.mEdit });
+}
+
+std::optional<edit_answer>
+replica::RefuseEdit(tables::edit const& aEdit) const
+{
+  auto const current = mApplied.State().mRevision;
+  auto const* const known = mApplied.FindEdit(aEdit.mId);
+  if (known != nullptr && mOptions.mMechanisms.mEditIds) {
+    return edit_answer{
+      edit_status::kAccepted, known->mRevision, known->mId, "", mLeader
+    };
+  }
+  if (aEdit.mId.IsEmpty()) {
+    return PlainAnswer(edit_status::kInvalid, "edit id: expected a text");
+  }
+  if (aEdit.mChanges.empty()) {
+    return PlainAnswer(edit_status::kUnchanged, "the edit has no changes");
+  }
+  if (aEdit.mBase < current) {
+    return ConflictAnswer(aEdit.mBase);
+  }
+  if (aEdit.mBase > current) {
+    return PlainAnswer(edit_status::kInvalid,
+                       "base revision: expected at most " +
+                         std::to_string(current.mValue) + ", found " +
+                         std::to_string(aEdit.mBase.mValue));
+  }
+  return RefuseChanges(aEdit);
+}
+
+std::optional<edit_answer>
+replica::RefuseChanges(tables::edit const& aEdit) const
+{
+  if (auto problem = GroupChangeProblem(aEdit)) {
+    return PlainAnswer(edit_status::kInvalid, std::move(*problem));
+  }
+  auto const& tables = mApplied.State().mTables;
+  auto const changed =
+    core::Attempt([&] { return tables::ApplyChanges(tables, aEdit.mChanges); });
+  if (!changed) {
+    return PlainAnswer(edit_status::kInvalid, changed.mError.mDetail);
+  }
+  if (*changed == tables && !ChangesGroup(aEdit)) {
+    return PlainAnswer(edit_status::kUnchanged,
+                       "the tables hold these changes already");
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+replica::GroupChangeProblem(tables::edit const& aEdit) const
+{
+  if (!ChangesGroup(aEdit)) {
+    return std::nullopt;
+  }
+  if (aEdit.mChanges.size() != 1) {
+    return "control group: expected one change in an edit of its own";
+  }
+  auto const& change = aEdit.mChanges.front();
+  auto const* const removed = std::get_if<tables::remove_replica>(&change);
+  auto problem =
+    removed != nullptr
+      ? RemovalProblem(removed->mInstance)
+      : AdditionProblem(std::get<tables::add_replica>(change).mInstance);
+  return problem ? problem : MajorityProblem(aEdit);
+}
+
+std::optional<std::string>
+replica::MajorityProblem(tables::edit const& aEdit) const
+{
+  auto changed = Group();
+  ApplyToGroup(changed, edit_entry{ aEdit });
+  std::size_t voters = 0;
+  std::size_t answering = 0;
+  for (auto const& [instance, member] : changed) {
+    voters += member.mVoter ? 1 : 0;
+    answering += member.mVoter && Answers(instance) ? 1 : 0;
+  }
+  if (answering > voters / 2) {
+    return std::nullopt;
+  }
+  return "control group: only " + std::to_string(answering) + " of " +
+         std::to_string(voters) +
+         " voters would be left that answer and are not under repair";
+}
+
+bool
+replica::Answers(core::instance_id const& aInstance) const
+{
+  auto const peer = mProgress.find(aInstance);
+  if (peer == mProgress.end()) {
+    return aInstance == mIdentity.mInstance;
+  }
+  auto const& progress = peer->second;
+  return IsTrusted(aInstance, progress.mIncarnation) &&
+         progress.mAcknowledged != core::time_point::min() &&
+         mNow < progress.mAcknowledged + mOptions.mLease;
+}
+
+std::optional<std::string>
+replica::RemovalProblem(core::instance_id const& aInstance) const
+{
+  auto const member = Group().find(aInstance);
+  if (member == Group().end()) {
+    return "control replica " + aInstance.mValue +
+           ": expected a member to remove";
+  }
+  std::size_t voters = 0;
+  for (auto const& [instance, entry] : Group()) {
+    voters += entry.mVoter ? 1 : 0;
+  }
+  if (member->second.mVoter && voters == 1) {
+    return "control replica " + aInstance.mValue +
+           ": the last voter cannot be removed";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+replica::AdditionProblem(core::instance_id const& aInstance) const
+{
+  if (aInstance.IsEmpty()) {
+    return "control replica: expected an instance id";
+  }
+  if (Group().contains(aInstance)) {
+    return "control replica " + aInstance.mValue + ": is a member already";
+  }
+  if (Group().size() >= kMaximumReplicas) {
+    return "control group: expected at most " +
+           std::to_string(kMaximumReplicas) + " replicas";
+  }
+  for (auto const& [instance, member] : Group()) {
+    if (!member.mVoter) {
+      return "control replica " + instance.mValue +
+             ": is still catching up; add one at a time";
+    }
+  }
+  return std::nullopt;
+}
+
+void
+replica::AnswerCommittedEdit()
+{
+  if (!mPendingEdit || mPendingEdit->mIndex > mCommitted) {
+    return;
+  }
+  auto const& record = mApplied.State().mHistory.back();
+  AnswerEdit(
+    mPendingEdit->mSubmission,
+    { edit_status::kAccepted, record.mRevision, record.mId, "", mLeader });
+  mPendingEdit.reset();
+}
+
+void
+replica::AnswerWaitingEdits(edit_status aStatus)
+{
+  while (!mWaitingEdits.empty()) {
+    AnswerEdit(mWaitingEdits.front().mSubmission,
+               PlainAnswer(aStatus, "the leader lost its majority"));
+    mWaitingEdits.pop_front();
+  }
+}
+
+void
+replica::AnswerEdit(submission_id aSubmission, edit_answer aAnswer)
+{
+  mActions.emplace_back(answer_edit{ aSubmission, std::move(aAnswer) });
+}
+
+edit_answer
+replica::PlainAnswer(edit_status aStatus, std::string aReason) const
+{
+  auto const revision = mApplied.State().mRevision;
+  auto const* const record = mApplied.FindRevision(revision);
+  return { aStatus,
+           revision,
+           record == nullptr ? core::edit_id{} : record->mId,
+           std::move(aReason),
+           mLeader };
+}
+
+edit_answer
+replica::ConflictAnswer(core::revision aBase) const
+{
+  auto answer = PlainAnswer(edit_status::kConflict,
+                            "another edit was accepted on revision " +
+                              std::to_string(aBase.mValue));
+  // The edit that took the base; a resend gets the same answer.
+  auto const* const winner =
+    mApplied.FindRevision(core::revision{ aBase.mValue + 1 });
+  if (winner != nullptr) {
+    answer.mRevision = winner->mRevision;
+    answer.mEdit = winner->mId;
+  }
+  return answer;
+}
+
+void
+replica::On(read_requested const& aEvent)
+{
+  bool const leads = TakesPart() && IsLeader();
+  if (leads && aEvent.mCurrent && !mOptions.mMechanisms.mLeaseCheck) {
+    AnswerRead(aEvent.mRead, false);
+    return;
+  }
+  bool const confirmable =
+    leads && (LeaseValid(mNow) || mNow < mLeadingSince + mOptions.mLease);
+  if (!aEvent.mCurrent || !confirmable) {
+    AnswerRead(aEvent.mRead, true);
+    return;
+  }
+  mWaitingReads.push_back({ aEvent.mRead, mNow });
+  Broadcast();
+  AnswerConfirmedReads();
+}
+
+void
+replica::AnswerConfirmedReads()
+{
+  if (!IsLeader() || mCommitted < mTermStartIndex) {
+    return;
+  }
+  auto const confirmed = MajorityAcknowledged();
+  while (!mWaitingReads.empty() &&
+         mWaitingReads.front().mRequested <= confirmed) {
+    AnswerRead(mWaitingReads.front().mRead, false);
+    mWaitingReads.pop_front();
+  }
+}
+
+void
+replica::AnswerAllReadsStale()
+{
+  while (!mWaitingReads.empty()) {
+    AnswerRead(mWaitingReads.front().mRead, true);
+    mWaitingReads.pop_front();
+  }
+}
+
+void
+replica::AnswerRead(read_id aRead, bool aStale)
+{
+  auto const& state = mApplied.State();
+  mActions.emplace_back(answer_read{
+    aRead, state.mRevision, mApplied.Hash(), state.mTables, aStale, mLeader });
+}
+
+void
+replica::AnnounceTables()
+{
+  auto const& state = mApplied.State();
+  if (mAnnouncedRevision == state.mRevision) {
+    return;
+  }
+  mAnnouncedRevision = state.mRevision;
+  auto const* const record = mApplied.FindRevision(state.mRevision);
+  mActions.emplace_back(
+    tables_committed{ state.mRevision,
+                      mApplied.Hash(),
+                      state.mTables,
+                      record == nullptr ? core::edit_id{} : record->mId });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/ReplicaReplication.cpp
@@ -0,0 +1,428 @@
+#include "LibControl/Replica.h"
+
+#include "LibCore/Assert.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace cranberryfold::control {
+
+namespace {
+
+/// Shortest time between two snapshots to the same replica; a snapshot can be
+/// megabytes, heartbeats come five times a second.
+constexpr core::duration kSnapshotInterval = std::chrono::seconds(1);
+
+/// Returns the value that a majority of the voters has reached.
+template<class Value>
+Value
+MajorityValue(std::vector<Value> aValues)
+{
+  std::sort(aValues.begin(), aValues.end(), std::greater<>());
+  return aValues.at(aValues.size() / 2);
+}
+
+bool
+IsContiguous(append_request const& aBody)
+{
+  auto expected = aBody.mPreviousIndex;
+  for (auto const& entry : aBody.mEntries) {
+    if (entry.mIndex != ++expected) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::int64_t
+ToMicroseconds(core::time_point aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+}
+
+void
+replica::FollowLeader(message const& aMessage)
+{
+  ObserveTerm(aMessage.mTerm);
+  CF_ASSERT(!IsLeader(), "two leaders in one term");
+  Fire("leader_seen");
+  mLeader = aMessage.mFrom;
+  mLeaderContact = mNow;
+  ResetElectionTimer();
+}
+
+void
+replica::OnBody(message const& aMessage, append_request const& aBody)
+{
+  if (!IsContiguous(aBody)) {
+    return;
+  }
+  if (aMessage.mTerm < mHardState.mTerm) {
+    SendAfterSync(aMessage.mFrom,
+                  append_response{ false, 0, aBody.mSentAtMicroseconds });
+    return;
+  }
+  FollowLeader(aMessage);
+  if (auto const retry = RetryIndex(aBody)) {
+    SendAfterSync(aMessage.mFrom,
+                  append_response{ false, *retry, aBody.mSentAtMicroseconds });
+    return;
+  }
+  StoreEntries(aBody.mEntries);
+  auto const matched = aBody.mPreviousIndex + aBody.mEntries.size();
+  CommitUpTo(std::min(aBody.mCommitted, matched));
+  SendAfterSync(aMessage.mFrom,
+                append_response{ true, matched, aBody.mSentAtMicroseconds });
+}
+
+std::optional<log_index>
+replica::RetryIndex(append_request const& aBody) const
+{
+  auto const previous = aBody.mPreviousIndex;
+  if (previous > mLog.LastIndex()) {
+    return mLog.LastIndex() + 1;
+  }
+  // Compacted entries are committed, so they are equal to the leader's.
+  auto const term = mLog.TermAt(previous);
+  if (!term || *term == aBody.mPreviousTerm) {
+    return std::nullopt;
+  }
+  auto retry = previous;
+  while (retry > mCommitted + 1 && mLog.TermAt(retry - 1) == term) {
+    --retry;
+  }
+  return retry;
+}
+
+void
+replica::StoreEntries(std::vector<log_entry> const& aEntries)
+{
+  std::vector<journal_record> records;
+  for (auto const& entry : aEntries) {
+    if (entry.mIndex <= mLog.Base() ||
+        mLog.TermAt(entry.mIndex) == entry.mTerm) {
+      continue;
+    }
+    if (entry.mIndex <= mLog.LastIndex()) {
+      TruncateFrom(entry.mIndex);
+    }
+    mLog.Append(entry);
+    records.emplace_back(entry);
+  }
+  if (records.empty()) {
+    return;
+  }
+  Persist(std::move(records));
+  RecomputeGroup();
+}
+
+void
+replica::TruncateFrom(log_index aIndex)
+{
+  CF_ASSERT(aIndex > mCommitted, "a committed entry would be replaced");
+  mLog.TruncateFrom(aIndex);
+  mDurableIndex = std::min(mDurableIndex, aIndex - 1);
+  for (auto& [sequence, index] : mUnsyncedIndexes) {
+    index = std::min(index, aIndex - 1);
+  }
+}
+
+void
+replica::OnBody(message const& aMessage, snapshot_transfer const& aBody)
+{
+  if (aMessage.mTerm < mHardState.mTerm) {
+    return;
+  }
+  FollowLeader(aMessage);
+  if (aBody.mSnapshot.mIndex > mCommitted) {
+    InstallSnapshot(aBody.mSnapshot);
+  }
+  SendAfterSync(aMessage.mFrom,
+                append_response{ true, mCommitted, aBody.mSentAtMicroseconds });
+}
+
+void
+replica::InstallSnapshot(snapshot const& aSnapshot)
+{
+  CF_ASSERT(aSnapshot.mRevision >= mApplied.State().mRevision,
+            "a snapshot would take the tables back");
+  mApplied = applied_state(
+    aSnapshot, { mOptions.mRetentionTime, mOptions.mRetentionCount });
+  mLog = replica_log(aSnapshot.mIndex, aSnapshot.mTerm);
+  mCommitted = aSnapshot.mIndex;
+  mUnsyncedIndexes.clear();
+  WriteSnapshot();
+  RecomputeGroup();
+  UpdateMembership();
+  AnnounceTables();
+}
+
+void
+replica::WriteSnapshot()
+{
+  mRecordsSinceSnapshot = 0;
+  mPersistedCommit = mCommitted;
+  mUnsyncedIndexes[++mLastSequence] = mLog.LastIndex();
+  auto entries = mLog.Slice(mCommitted + 1, mLog.LastIndex() - mCommitted);
+  mActions.emplace_back(write_snapshot{
+    mLastSequence, mHardState, mApplied.State(), std::move(entries) });
+}
+
+void
+replica::Compact()
+{
+  if (mRecordsSinceSnapshot < mOptions.mCompactionRecords) {
+    return;
+  }
+  WriteSnapshot();
+  if (mCommitted > mOptions.mTrailingEntries) {
+    mLog.CompactTo(mCommitted - mOptions.mTrailingEntries);
+  }
+}
+
+void
+replica::OnBody(message const& aMessage, append_response const& aBody)
+{
+  ObserveTerm(aMessage.mTerm);
+  auto const peer = mProgress.find(aMessage.mFrom);
+  if (!IsLeader() || aMessage.mTerm != mHardState.mTerm ||
+      peer == mProgress.end()) {
+    return;
+  }
+  auto& progress = peer->second;
+  if (mOptions.mMechanisms.mIncarnationFence &&
+      !MatchIncarnation(progress, aMessage.mIncarnation)) {
+    return;
+  }
+  auto const sentAt =
+    core::time_point(core::duration(aBody.mSentAtMicroseconds));
+  progress.mAcknowledged = std::max(progress.mAcknowledged, sentAt);
+  UpdateProgress(aMessage.mFrom, progress, aBody);
+  AdvanceCommit();
+  AdmitCaughtUp();
+  AnswerConfirmedReads();
+  ProcessWaitingEdits();
+}
+
+bool
+replica::MatchIncarnation(peer_progress& aProgress,
+                          core::incarnation aIncarnation)
+{
+  if (aIncarnation < aProgress.mIncarnation) {
+    return false;
+  }
+  if (aIncarnation > aProgress.mIncarnation) {
+    // What the older life acknowledged is gone with its disk.
+    aProgress = peer_progress{};
+    aProgress.mIncarnation = aIncarnation;
+    aProgress.mNext = mLog.LastIndex() + 1;
+  }
+  return true;
+}
+
+void
+replica::UpdateProgress(core::instance_id const& aPeer,
+                        peer_progress& aProgress,
+                        append_response const& aBody)
+{
+  auto const before = aProgress.mNext;
+  if (aBody.mSuccess) {
+    aProgress.mMatch = std::max(aProgress.mMatch, aBody.mIndex);
+    aProgress.mNext = std::max(aProgress.mNext, aProgress.mMatch + 1);
+  } else {
+    auto const lowest = mOptions.mMechanisms.mIncarnationFence
+                          ? aProgress.mMatch + 1
+                          : log_index{ 1 };
+    aProgress.mNext =
+      std::max(lowest, std::min(aBody.mIndex, mLog.LastIndex() + 1));
+  }
+  if (aProgress.mNext != before && aProgress.mNext <= mLog.LastIndex()) {
+    SendEntries(aPeer, aProgress);
+  }
+}
+
+void
+replica::OnBody(message const& aMessage, join_request const&)
+{
+  auto const peer = mProgress.find(aMessage.mFrom);
+  if (!IsLeader() || peer == mProgress.end() ||
+      IsTrusted(aMessage.mFrom, aMessage.mIncarnation) ||
+      !MatchIncarnation(peer->second, aMessage.mIncarnation)) {
+    return;
+  }
+  auto& progress = peer->second;
+  if (!progress.mJoining) {
+    progress.mJoining = true;
+    progress.mJoinTarget = mLog.LastIndex();
+  }
+  SendEntries(aMessage.mFrom, progress);
+}
+
+void
+replica::AdmitCaughtUp()
+{
+  if (!IsLeader() || mCommitted < mTermStartIndex || GroupChangeInFlight()) {
+    return;
+  }
+  for (auto& [instance, progress] : mProgress) {
+    if (!progress.mJoining || progress.mMatch < progress.mJoinTarget) {
+      continue;
+    }
+    progress.mJoining = false;
+    if (!IsTrusted(instance, progress.mIncarnation)) {
+      AppendOwn(admit_entry{ instance, progress.mIncarnation });
+      return;
+    }
+  }
+}
+
+void
+replica::Broadcast()
+{
+  mNextHeartbeat = mNow + mOptions.mHeartbeatInterval;
+  for (auto& [instance, progress] : mProgress) {
+    SendEntries(instance, progress);
+  }
+}
+
+void
+replica::SendEntries(core::instance_id const& aTo, peer_progress& aProgress)
+{
+  if (aProgress.mNext <= mLog.Base() && mNow >= aProgress.mNextSnapshot) {
+    aProgress.mNextSnapshot = mNow + kSnapshotInterval;
+    Send(aTo, snapshot_transfer{ ToMicroseconds(mNow), mApplied.State() });
+    return;
+  }
+  // Without its snapshot the replica refuses the request; it still learns that
+  // the leader is alive.
+  auto const first = std::max(aProgress.mNext, mLog.Base() + 1);
+  append_request request;
+  request.mPreviousIndex = first - 1;
+  request.mPreviousTerm = *mLog.TermAt(first - 1);
+  request.mCommitted = mCommitted;
+  request.mSentAtMicroseconds = ToMicroseconds(mNow);
+  if (first == aProgress.mNext) {
+    request.mEntries = mLog.Slice(first, mOptions.mMaximumEntriesPerMessage);
+  }
+  Send(aTo, std::move(request));
+}
+
+void
+replica::AppendOwn(entry_payload aPayload)
+{
+  log_entry entry{ mLog.LastIndex() + 1,
+                   mHardState.mTerm,
+                   mLogTimeAtStart + (mNow - mLeadingSince),
+                   std::move(aPayload) };
+  mLog.Append(entry);
+  Persist({ std::move(entry) });
+  RecomputeGroup();
+  Broadcast();
+}
+
+bool
+replica::IsMajority(std::set<core::instance_id> const& aInstances) const
+{
+  std::size_t voters = 0;
+  std::size_t counted = 0;
+  for (auto const& [instance, member] : Group()) {
+    voters += member.mVoter ? 1 : 0;
+    counted += member.mVoter && aInstances.contains(instance) ? 1 : 0;
+  }
+  return counted > voters / 2;
+}
+
+core::time_point
+replica::MajorityAcknowledged() const
+{
+  std::vector<core::time_point> times;
+  for (auto const& [instance, member] : Group()) {
+    if (!member.mVoter) {
+      continue;
+    }
+    auto const peer = mProgress.find(instance);
+    bool const counts =
+      peer != mProgress.end() && IsTrusted(instance, peer->second.mIncarnation);
+    auto const acknowledged =
+      counts ? peer->second.mAcknowledged : core::time_point::min();
+    times.push_back(instance == mIdentity.mInstance ? mNow : acknowledged);
+  }
+  return times.empty() ? core::time_point::min()
+                       : MajorityValue(std::move(times));
+}
+
+log_index
+replica::MajorityMatch() const
+{
+  std::vector<log_index> matches;
+  for (auto const& [instance, member] : Group()) {
+    if (!member.mVoter) {
+      continue;
+    }
+    auto const peer = mProgress.find(instance);
+    bool const counts =
+      peer != mProgress.end() && IsTrusted(instance, peer->second.mIncarnation);
+    auto const match = counts ? peer->second.mMatch : 0;
+    matches.push_back(instance == mIdentity.mInstance ? mDurableIndex : match);
+  }
+  return matches.empty() ? 0 : MajorityValue(std::move(matches));
+}
+
+bool
+replica::LeaseValid(core::time_point aNow) const
+{
+  if (!mOptions.mMechanisms.mLeaseCheck) {
+    return true;
+  }
+  auto const acknowledged = MajorityAcknowledged();
+  return acknowledged != core::time_point::min() &&
+         aNow < acknowledged + mOptions.mLease;
+}
+
+void
+replica::AdvanceCommit()
+{
+  // An answer also rests on the leader's own disk.
+  auto const index = std::min(MajorityMatch(), mDurableIndex);
+  if (!IsLeader() || index <= mCommitted ||
+      mLog.TermAt(index) != mHardState.mTerm) {
+    return;
+  }
+  CommitUpTo(index);
+  if (IsLeader()) {
+    Broadcast();
+  }
+}
+
+void
+replica::CommitUpTo(log_index aIndex)
+{
+  if (aIndex <= mCommitted) {
+    return;
+  }
+  bool groupChanged = false;
+  while (mCommitted < aIndex) {
+    auto const& entry = mLog.At(++mCommitted);
+    groupChanged = groupChanged || ChangesGroup(entry.mPayload);
+    mApplied.Apply(entry);
+  }
+  AnnounceTables();
+  AnswerCommittedEdit();
+  if (groupChanged) {
+    // A restarted replica must know who is admitted even if no leader is left
+    // to tell it, else it could not count that vote.
+    Persist({});
+    RecomputeGroup();
+    UpdateMembership();
+  }
+  Compact();
+  if (IsLeader()) {
+    AnswerConfirmedReads();
+    ProcessWaitingEdits();
+  }
+}
+
+}
