--- a/Libraries/LibControl/Types.cpp
+++ b/Libraries/LibControl/Types.cpp
@@ -46,6 +46,11 @@
 {
   recovered_state state;
   state.mIdentity.mInstance = aInstance;
+  // The group is not part of any entry, so that an empty replica must not build
+  // its state from entries alone: the missing first entry makes the leader send
+  // it a snapshot.
+  state.mSnapshot.mIndex = 1;
+  state.mCommitted = 1;
   state.mSnapshot.mGroup = aGroup;
   for (auto& [instance, member] : state.mSnapshot.mGroup) {
     member.mVoter = true;
--- a/Libraries/LibControl/Types.h
+++ b/Libraries/LibControl/Types.h
@@ -16,7 +16,8 @@
 /// the recovery from a lost disk.
 namespace cranberryfold::control {
 
-/// Position in the log; the first entry has index 1.
+/// Position in the log; index 1 stands for the initial state of a group, the
+/// first entry has index 2.
 using log_index = std::uint64_t;
 /// Number of an election; each term has at most one leader.
 using term_number = std::uint64_t;
--- a/Utilities/RandomRun/ControlOperators.cpp
+++ b/Utilities/RandomRun/ControlOperators.cpp
@@ -44,6 +44,12 @@
 control_run::MakeEdit(operator_state& aOperator)
 {
   aOperator.mEdit = RandomEdit(aOperator.mKnown);
+  // One operator changes the group, so that it cannot shrink by racing edits.
+  if (&aOperator == &mOperators.front() && !mQuiet && mRandom.Chance(0.06)) {
+    if (auto change = RandomGroupChange()) {
+      aOperator.mEdit->mChanges = { *change };
+    }
+  }
   auto const* const leader = LeaderNode();
   bool const known = leader != nullptr && mRandom.Chance(0.8);
   aOperator.mTarget = known ? leader->mInstance : AnyNode().mInstance;
@@ -53,8 +59,7 @@
 control_run::RandomEdit(core::revision aBase)
 {
   tables::edit edit{ { "e" + std::to_string(++mLastNumber) }, aBase, {} };
-  auto groupChange = mRandom.Chance(0.03) ? RandomGroupChange() : std::nullopt;
-  edit.mChanges.push_back(groupChange ? *groupChange : RandomChange());
+  edit.mChanges.push_back(RandomChange());
   return edit;
 }
 
--- a/Utilities/RandomRun/ControlRun.cpp
+++ b/Utilities/RandomRun/ControlRun.cpp
@@ -228,6 +228,7 @@
     auto const actions =
       aNode.mReplica->Handle(mNow + aNode.mClockOffset, event);
     mChecks.OnHistory(aNode.mReplica->History());
+    NoteGroup(aNode);
     for (auto const& action : actions) {
       std::visit([&](auto const& aTyped) { Perform(aNode, aTyped); }, action);
     }
@@ -370,6 +371,23 @@
   aNode.mLeads = leads;
 }
 
+void
+control_run::NoteGroup(node& aNode)
+{
+  auto group = aNode.mReplica->Status(mNow + aNode.mClockOffset).mGroup;
+  if (group == aNode.mGroup) {
+    return;
+  }
+  aNode.mGroup = std::move(group);
+  std::string text;
+  for (auto const& [instance, member] : aNode.mGroup) {
+    text += " " + instance.mValue + ":" +
+            std::to_string(member.mIncarnation.mValue) +
+            (member.mVoter ? "" : "(learner)");
+  }
+  Note(aNode.mInstance.mValue + " sees the group" + text);
+}
+
 void
 control_run::Note(std::string aText)
 {
--- a/Utilities/RandomRun/ControlRun.h
+++ b/Utilities/RandomRun/ControlRun.h
@@ -48,6 +48,7 @@
     std::vector<control::event> mWhileFrozen;
     core::revision mRevision;
     control::term_number mTerm = 0;
+    control::replica_group mGroup;
     bool mLeads = false;
     bool mDiskFull = false;
   };
@@ -97,6 +98,7 @@
   void Perform(node& aNode, control::tables_committed const& aAction);
   void Perform(node& aNode, control::role_changed const& aAction);
   void ScheduleSync(node& aNode, std::uint64_t aSequence);
+  void NoteGroup(node& aNode);
   void Note(std::string aText);
   control::replica_options ReplicaOptions() const;
 
