LibControl: Let a learner vote when a candidate asks

Cause: a leader appended the entry that makes a learner a voter and lost the contact before the learner received it. The group then had four voters, of which one was under repair, and the learner refused its vote because it did not know that it had one: no majority was left. The randomised run now also cuts the power right after an accepted answer. Conclusion: a learner answers vote requests; the candidate, whose log knows the group, decides whether the vote counts.

--- a/Libraries/LibControl/ReplicaElection.cpp
+++ b/Libraries/LibControl/ReplicaElection.cpp
@@ -35,7 +35,13 @@
 bool
 replica::MayVote() const
 {
-  return IsVoter() || !mOptions.mMechanisms.mIncarnationFence;
+  if (IsVoter() || !mOptions.mMechanisms.mIncarnationFence) {
+    return true;
+  }
+  // A learner may already be a voter in the log of a candidate, which then
+  // needs this vote; the candidate decides whether it counts.
+  auto const member = mApplied.State().mGroup.find(mIdentity.mInstance);
+  return member != mApplied.State().mGroup.end() && !member->second.mVoter;
 }
 
 void
--- a/Utilities/RandomRun/ControlFaults.cpp
+++ b/Utilities/RandomRun/ControlFaults.cpp
@@ -134,11 +134,24 @@
 
 void
 control_run::KillMany()
+{
+  // The worst moment is right after an answer, before slow disks have synced.
+  if (mRandom.Chance(0.5)) {
+    mPowerLossArmed = true;
+    return;
+  }
+  LosePower();
+}
+
+void
+control_run::LosePower()
 {
   ++mFaults["power_loss"];
   Note("power loss");
+  double const share = mPowerLossArmed ? 1.0 : 0.8;
+  mPowerLossArmed = false;
   for (auto& [instance, entry] : mNodes) {
-    if (mRandom.Chance(0.8)) {
+    if (mRandom.Chance(share)) {
       Stop(entry);
       RestartLater(entry);
     }
@@ -221,6 +234,7 @@
 {
   Note("faults end");
   mQuiet = true;
+  mPowerLossArmed = false;
   mNetwork.HealAll();
   mNetwork.SetFaults({});
   mNotices.SetFaults({});
--- a/Utilities/RandomRun/ControlRun.cpp
+++ b/Utilities/RandomRun/ControlRun.cpp
@@ -306,6 +306,13 @@
        std::string(control::EditStatusName(answer.mStatus)) + " " +
        std::to_string(answer.mRevision.mValue) + " " + answer.mReason);
   mChecks.OnAnswer(id, answer);
+  if (mPowerLossArmed && answer.mStatus == control::edit_status::kAccepted) {
+    mTimers.Once(mNow, [this](core::time_point) {
+      if (mPowerLossArmed) {
+        LosePower();
+      }
+    });
+  }
   if (!mQuiet && mRandom.Chance(0.1)) {
     ++mFaults["lost_answer"];
     return;
--- a/Utilities/RandomRun/ControlRun.h
+++ b/Utilities/RandomRun/ControlRun.h
@@ -110,6 +110,7 @@
   void Freeze();
   void Kill();
   void KillMany();
+  void LosePower();
   void LoseDisk(bool aDamage);
   void FillDisk();
   void EndFaults();
@@ -154,6 +155,8 @@
   /// Disks were lost faster than the group could repair them; edits may stop.
   bool mTooManyLosses = false;
   bool mAllowAnyLoss = false;
+  /// The next accepted edit is followed by a power loss everywhere.
+  bool mPowerLossArmed = false;
 };
 
 }
