Utilities/RandomRun: Give the pools of the overload run a longer queue

With 100 ms, queue timeouts of important calls were the main loss at a deep service whose calls take up to 250 ms in the surge.

--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -14,6 +14,8 @@
 constexpr core::duration kZoneLatency{ 100 };
 constexpr core::duration kRegionLatency{ 1'000 };
 constexpr core::duration kInterRegionLatency{ 20'000 };
+/// Long enough for a slowed deep service, whose calls take up to 250 ms.
+constexpr std::uint32_t kQueueWaitMilliseconds = 200;
 constexpr std::uint16_t kPeerPort = 7000;
 
 std::string
@@ -63,6 +65,7 @@
   pool.mName = mShape.mServices.at(aService).mName;
   pool.mService.mValue = pool.mName;
   pool.mObjective = mShape.mObjective;
+  pool.mQueueWaitMilliseconds = kQueueWaitMilliseconds;
   return pool;
 }
 
--- a/Utilities/RandomRun/OverloadServer.cpp
+++ b/Utilities/RandomRun/OverloadServer.cpp
@@ -197,8 +197,7 @@
                          double aWork)
 {
   auto& account = *aEntry.mCall.mAccount;
-  bool const deep =
-    mNodes.at(aEntry.mNode)->mService == mShape.DeepService();
+  bool const deep = mNodes.at(aEntry.mNode)->mService == mShape.DeepService();
   if (account.mEnded) {
     auto& counts = mReport.At(aNow);
     counts.mWastedWork += aWork;
