LibTraffic: Keep the concurrency limit where calls barely compete

The limit grew until calls competed and then shrank, again and again, and the baseline decayed below the true service time. It now grows only up to 1.3 times the baseline, holds up to 1.6 times, and the baseline never decays below the latency without competition.

--- a/Libraries/LibTraffic/AdmissionLimit.cpp
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -13,11 +13,13 @@
 constexpr double kBusyShare = 0.75;
 /// Latency over baseline from which calls are taken to compete.
 constexpr double kCompetition = 1.6;
+/// Latency over baseline up to which more calls are worth trying.
+constexpr double kFree = 1.3;
 constexpr double kShrink = 0.7;
 /// Between unchanged latency and latency that fell as much as the limit.
 constexpr double kTrialGain = (1 + kShrink) / 2;
 constexpr double kBaselineDrift = 0.1;
-constexpr double kBaselineDecay = 0.98;
+constexpr double kBaselineDecay = 0.95;
 constexpr double kSlowGrowth = 0.1;
 constexpr double kFastGrowth = 0.3;
 /// Share of the slots that a cold upstream starts with.
@@ -47,6 +49,7 @@
   mRestarted = aNow;
   mLimit = mSlots;
   mBaseline = 0;
+  mFloor = 0;
   mWindow = { aNow };
   mTrial.reset();
 }
@@ -102,6 +105,7 @@
 {
   if (mBaseline == 0 || aLatency < mBaseline) {
     mBaseline = aLatency;
+    mFloor = aLatency;
   }
   if (!mAdaptive) {
     return;
@@ -113,13 +117,16 @@
   if (!aBusy) {
     // Without competition the latency is the upstream's present service time.
     mBaseline += kBaselineDrift * (aLatency - mBaseline);
+    mFloor = mBaseline;
     Grow(aLatency);
     return;
   }
   if (aLatency <= kCompetition * mBaseline) {
-    Grow(aLatency);
+    if (aLatency <= kFree * mBaseline) {
+      Grow(aLatency);
+    }
     // An accepted latency is put to the test again from time to time.
-    mBaseline *= kBaselineDecay;
+    mBaseline = std::max(mFloor, kBaselineDecay * mBaseline);
     return;
   }
   if (mLimit > 1) {
--- a/Libraries/LibTraffic/AdmissionLimit.h
+++ b/Libraries/LibTraffic/AdmissionLimit.h
@@ -70,6 +70,8 @@
   std::optional<core::time_point> mRestarted;
   /// Microseconds; 0 before the first window.
   double mBaseline = 0;
+  /// The baseline without the latencies that trials have made accepted.
+  double mFloor = 0;
   window mWindow;
   std::optional<trial> mTrial;
 };
