LibTraffic: Aim the admission threshold at a short wait

A threshold that closed by 5% on any refusal and opened by 5% with room left places empty. It now lets in the completed rate, more while the queue is shorter than half of the longest wait and less while it is longer; the stamp of an upstream with room relaxes the threshold by half a band. Rates below the threshold are no longer raised by the retries of refused callers.

--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -15,8 +15,13 @@
 constexpr core::duration kStandingAfter{ 100'000 };
 /// Part of the longest wait that counts as short.
 constexpr int kShortWaitPart = 4;
+/// Part of the longest wait that the admission threshold aims at.
+constexpr int kTargetWaitPart = 2;
 /// With this objective the queue is this much shorter.
 constexpr std::uint32_t kRecoveryQueuePart = 2;
+/// Positions by which the stamp of an upstream with room lowers the threshold,
+/// so that senders fill the room before the feedback has moved.
+constexpr std::uint32_t kRelaxedPositions = 32;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
 constexpr double kMicrosecondsPerSecond = 1e6;
 
@@ -55,9 +60,13 @@
 load_stamp
 admission_controller::Stamp(core::time_point aNow) const
 {
+  auto threshold = mMechanisms.mThreshold ? mFeedback.Threshold() : 0;
+  if (mMechanisms.mFastReadmission && HasRoom(aNow)) {
+    threshold -= std::min(threshold, kRelaxedPositions);
+  }
   return { static_cast<std::uint32_t>(mRunning.size() + mQueue.Size()),
            mLimit.Limit(aNow),
-           mMechanisms.mThreshold ? mFeedback.Threshold() : 0,
+           threshold,
            mDraining };
 }
 
@@ -83,6 +92,7 @@
     return;
   }
   if (HasRoom(aNow)) {
+    mFeedback.CountWait({});
     Admit(aNow, aEvent.mCall);
     return;
   }
@@ -129,7 +139,7 @@
 {
   mPool = aEvent.mPool;
   mLimit.Configure(aEvent.mSlots, aEvent.mPool);
-  mFeedback.SetObjective(aEvent.mPool.mObjective);
+  mFeedback.Configure(aEvent.mPool.mObjective, LongestWait() / kTargetWaitPart);
 }
 
 void
@@ -238,6 +248,7 @@
 {
   for (auto const& call : mQueue.PopExpired(aNow, aNow - LongestWait())) {
     mFeedback.CountOverload();
+    mFeedback.CountWait(aNow - call.mArrived);
     Refuse(call.mCall,
            call.mDeadline <= aNow ? refusal_reason::kDeadlineExceeded
                                   : refusal_reason::kQueueTimeout);
@@ -247,6 +258,7 @@
 void
 admission_controller::NoteWait(core::time_point aNow, queued_call const& aCall)
 {
+  mFeedback.CountWait(aNow - aCall.mArrived);
   if (aNow - aCall.mArrived < LongestWait() / kShortWaitPart) {
     mShortWaitSeen = aNow;
   }
--- a/Libraries/LibTraffic/AdmissionFeedback.cpp
+++ b/Libraries/LibTraffic/AdmissionFeedback.cpp
@@ -14,13 +14,11 @@
 /// Rates below the threshold fade in about 10 s, so that callers who left are
 /// forgotten.
 constexpr double kFade = 0.99;
-/// Effect of one overloaded window on the allowed rate.
-constexpr double kClose = 0.95;
-constexpr double kLeastShare = 0.9;
-constexpr double kMostShare = 1.2;
-/// Effect of one window with room on the allowed rate.
-constexpr double kSlowOpen = 1.05;
-constexpr double kFastOpen = 1.2;
+/// Share of the completed rate that is let in at least, however long the wait.
+constexpr double kLeastShare = 0.8;
+/// Share beyond the completed rate that is let in while nothing waits.
+constexpr double kSlowOpen = 0.15;
+constexpr double kFastOpen = 0.3;
 /// Spare rate from which the threshold is lifted altogether.
 constexpr double kSpare = 1.2;
 
@@ -40,6 +38,8 @@
   mArrivals.fill(0);
   mCompletions = 0;
   mOverloads = 0;
+  mWaits = 0;
+  mWaitSum = {};
   mRoom = false;
 }
 
@@ -49,30 +49,38 @@
   for (std::uint32_t position = 0; position < kShedPositions; ++position) {
     auto& rate = mRates.at(position);
     auto const seen = mArrivals.at(position) / aSeconds;
-    auto const updated = rate + kWeight * (seen - rate);
-    rate = position < mThreshold ? std::max(updated, kFade * rate) : updated;
+    if (position < mThreshold) {
+      rate *= kFade;
+    } else {
+      rate += kWeight * (seen - rate);
+    }
   }
   auto const completed = mCompletions / aSeconds;
   mCompletionRate += kWeight * (completed - mCompletionRate);
 }
 
+double
+admission_feedback::RelativeWait() const
+{
+  if (mWaits == 0) {
+    return 0;
+  }
+  auto const mean = static_cast<double>(mWaitSum.count()) / mWaits;
+  return mean / static_cast<double>(mTargetWait.count());
+}
+
 void
 admission_feedback::UpdateAllowance()
 {
-  if (mOverloads > 0) {
-    auto const current = mAllowed.value_or(mCompletionRate);
-    mAllowed = std::clamp(kClose * current,
-                          kLeastShare * mCompletionRate,
-                          kMostShare * mCompletionRate);
-    return;
-  }
-  if (!mAllowed || !mRoom) {
+  auto const wait = RelativeWait();
+  if (!mAllowed && mOverloads == 0 && wait <= 1) {
     return;
   }
   bool const fast = mObjective == tables::pool_objective::kRecoveryTime;
-  *mAllowed = std::max(*mAllowed, mCompletionRate);
-  *mAllowed *= fast ? kFastOpen : kSlowOpen;
-  if (*mAllowed > kSpare * TotalRate()) {
+  auto const open = fast ? kFastOpen : kSlowOpen;
+  mAllowed =
+    mCompletionRate * std::clamp(1 + open * (1 - wait), kLeastShare, 1 + open);
+  if (mRoom && *mAllowed > kSpare * TotalRate()) {
     mAllowed.reset();
   }
 }
--- a/Libraries/LibTraffic/AdmissionFeedback.h
+++ b/Libraries/LibTraffic/AdmissionFeedback.h
@@ -12,7 +12,8 @@
 
 /// Sets the admission threshold of one upstream. Counts arrivals by position,
 /// estimates what the upstream completes, and moves the threshold to where the
-/// arrivals above it fit. Overload lowers the allowed rate, room raises it.
+/// arrivals above it fit: somewhat more than complete while the queue is short,
+/// less while it is long.
 class admission_feedback
 {
 public:
@@ -21,14 +22,22 @@
   {
   }
 
-  void SetObjective(tables::pool_objective aObjective)
+  /// aTargetWait is the mean wait in the queue that the threshold aims at.
+  void Configure(tables::pool_objective aObjective, core::duration aTargetWait)
   {
     mObjective = aObjective;
+    mTargetWait = aTargetWait;
   }
 
   void CountArrival(std::uint32_t aPosition) { ++mArrivals.at(aPosition); }
   void CountCompletion() { ++mCompletions; }
-  /// A call was refused, or waited too long, although above the threshold.
+  /// A call above the threshold left the queue after aWait.
+  void CountWait(core::duration aWait)
+  {
+    mWaitSum += aWait;
+    ++mWaits;
+  }
+  /// A call above the threshold was refused for want of room.
   void CountOverload() { ++mOverloads; }
   /// The upstream had a free place and nothing was waiting for it.
   void CountRoom() { mRoom = true; }
@@ -47,6 +56,8 @@
   void UpdateAllowance();
   void PlaceThreshold();
   double TotalRate() const;
+  /// Returns the mean wait over the target.
+  double RelativeWait() const;
 
   core::time_point mStart;
   tables::pool_objective mObjective = tables::pool_objective::kGoodput;
@@ -56,6 +67,9 @@
   std::array<double, kShedPositions> mRates{};
   std::uint32_t mCompletions = 0;
   std::uint32_t mOverloads = 0;
+  std::uint32_t mWaits = 0;
+  core::duration mWaitSum{};
+  core::duration mTargetWait{ 1 };
   bool mRoom = false;
   double mCompletionRate = 0;
   /// Arrivals per second that are let in; nothing when there is no overload.
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -100,8 +100,9 @@
 };
 
 /// Decides on a further attempt, apart from the permit, which the root daemon
-/// is asked for when mBackoff is set. Takes a token from aRatio. Returns nothing
-/// when no retry comes into question: the call ran, or would be refused again.
+/// is asked for when mBackoff is set. Takes a token from aRatio. Returns
+/// nothing when no retry comes into question: the call ran, or would be refused
+/// again.
 std::optional<retry_decision>
 DecideRetry(retry_facts const& aFacts,
             retry_ratio& aRatio,
