LibTraffic: Refuse early what a needed pool would refuse

The daemon learns which pools the upstream calls for each class, and refuses an arriving call when the last stamps of a needed pool refuse the call that is to follow.

--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -87,6 +87,24 @@
   return Refusal(!refusing.empty());
 }
 
+bool
+upstream_selector::WouldRefuse(core::time_point aNow,
+                               call_context const& aContext) const
+{
+  auto const position = ShedPosition(aContext, mMechanisms.mOrder);
+  bool refusing = false;
+  for (auto const& [id, entry] : mUpstreams) {
+    if (!IsUsable(entry, {}) || !IsWithinSpill(Distance(entry.mCandidate))) {
+      continue;
+    }
+    if (!entry.mHealth.WouldRefuse(aNow, position)) {
+      return false;
+    }
+    refusing = true;
+  }
+  return refusing;
+}
+
 void
 upstream_selector::Report(core::time_point aNow, attempt_report const& aReport)
 {
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -92,6 +92,10 @@
                    call_context const& aContext,
                    std::vector<core::instance_id> const& aTried);
 
+  /// Returns true when the last stamps say that every usable upstream would
+  /// refuse the call.
+  bool WouldRefuse(core::time_point aNow, call_context const& aContext) const;
+
   /// Ends an attempt. Upstreams that have left the pool are ignored.
   void Report(core::time_point aNow, attempt_report const& aReport);
 
--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -44,6 +44,7 @@
   , mReport(aReport)
 {
   for (std::size_t service = 0; service < aShape.mServices.size(); ++service) {
+    mServiceOf.emplace(PoolOf(service).mName, service);
     for (std::size_t zone = 0; zone < kOverloadZones; ++zone) {
       AddNode(service, zone);
     }
@@ -83,6 +84,7 @@
           {},
           {},
           {},
+          {},
           {} });
   entry->mAdmission.Handle(
     {}, traffic::configuration_changed{ service.mSlots, PoolOf(aService) });
--- a/Utilities/RandomRun/OverloadMesh.h
+++ b/Utilities/RandomRun/OverloadMesh.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibTraffic/AdmissionController.h"
+#include "LibTraffic/AdmissionDependency.h"
 #include "LibTraffic/RetryBudget.h"
 #include "LibTraffic/UpstreamSelection.h"
 #include "OverloadOrderCheck.h"
@@ -94,6 +95,7 @@
     std::vector<traffic::retry_ratio> mRatios;
     traffic::retry_budget mBudget;
     order_check mOrder;
+    traffic::downstream_dependency mDependency;
   };
 
   /// What the sending daemon knows.
@@ -119,6 +121,7 @@
     bool mRunning = false;
     core::time_point mAdmitted;
     std::uint32_t mDeepCallsLeft = 0;
+    std::vector<std::string> mCalledPools;
     /// The deep call that the run waits for; 0 for none.
     std::uint64_t mDeepCall = 0;
   };
@@ -168,6 +171,7 @@
   void HandleAdmission(core::time_point aNow,
                        std::size_t aNode,
                        traffic::admission_event const& aEvent);
+  bool IsRefusedBeyond(core::time_point aNow, server_attempt const& aEntry);
   void Run(core::time_point aNow, std::uint64_t aAttempt);
   void Compute(core::time_point aNow, std::uint64_t aAttempt);
   void ContinueRun(core::time_point aNow, std::uint64_t aAttempt);
@@ -186,6 +190,7 @@
   overload_report& mReport;
   std::vector<std::unique_ptr<node>> mNodes;
   std::unordered_map<core::instance_id, std::size_t> mNodeOf;
+  std::unordered_map<std::string, std::size_t> mServiceOf;
   std::unordered_map<std::uint64_t, sender_call> mCalls;
   std::unordered_map<std::uint64_t, server_attempt> mAttempts;
   std::uint64_t mLastId = 0;
--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -15,6 +15,7 @@
   overload_policy policy;
   policy.mAdmission = false;
   policy.mCancellation = false;
+  policy.mEarlyRefusal = false;
   policy.mRetries = false;
   policy.mSelection.mSenderThreshold = false;
   policy.mSelection.mAvoidance = false;
@@ -25,6 +26,7 @@
 FixedLimit()
 {
   overload_policy policy;
+  policy.mEarlyRefusal = false;
   policy.mRetries = false;
   policy.mController.mAdaptiveLimit = false;
   policy.mController.mThreshold = false;
@@ -81,6 +83,7 @@
     { "retry_permits", [](policy& aPolicy) { aPolicy.mRetryPermits = false; } },
     { "retry_ratio", [](policy& aPolicy) { aPolicy.mRetryRatio = false; } },
     { "retries", [](policy& aPolicy) { aPolicy.mRetries = false; } },
+    { "early_refusal", [](policy& aPolicy) { aPolicy.mEarlyRefusal = false; } },
     { "cancellation", [](policy& aPolicy) { aPolicy.mCancellation = false; } },
   };
   return switches;
--- a/Utilities/RandomRun/OverloadPolicy.h
+++ b/Utilities/RandomRun/OverloadPolicy.h
@@ -15,6 +15,8 @@
   /// False for plain forwarding to the upstream.
   bool mAdmission = true;
   bool mCancellation = true;
+  /// Refuses calls whose needed pool would refuse the call that follows.
+  bool mEarlyRefusal = true;
   /// Retries after permission of the root daemon.
   bool mRetries = true;
   /// False grants every permit.
--- a/Utilities/RandomRun/OverloadServer.cpp
+++ b/Utilities/RandomRun/OverloadServer.cpp
@@ -39,9 +39,29 @@
     Run(aNow, aAttempt);
     return;
   }
+  if (IsRefusedBeyond(aNow, mAttempts.at(aAttempt))) {
+    Respond(
+      aNow, aAttempt, { outcome::kNotRun, refusal_reason::kSenderCutOff });
+    return;
+  }
   HandleAdmission(aNow, index, traffic::call_arrived{ { aAttempt }, context });
 }
 
+bool
+overload_mesh::IsRefusedBeyond(core::time_point aNow,
+                               server_attempt const& aEntry)
+{
+  auto const& target = *mNodes.at(aEntry.mNode);
+  auto context = aEntry.mCall.mContext;
+  auto const needed = target.mDependency.NeededPools(context.mClass);
+  ++context.mDepth;
+  return mPolicy.mEarlyRefusal &&
+         std::any_of(needed.begin(), needed.end(), [&](auto const& aPool) {
+           return target.mSelectors.at(mServiceOf.at(aPool))
+             ->WouldRefuse(aNow, context);
+         });
+}
+
 void
 overload_mesh::HandleAdmission(core::time_point aNow,
                                std::size_t aNode,
@@ -112,6 +132,7 @@
     return;
   }
   --entry.mDeepCallsLeft;
+  entry.mCalledPools.push_back(PoolOf(mShape.DeepService()).mName);
   auto call = entry.mCall;
   call.mFrom = entry.mNode;
   call.mService = mShape.DeepService();
@@ -142,6 +163,8 @@
   auto const& entry = mAttempts.at(aAttempt);
   auto const index = entry.mNode;
   auto const latency = aNow - entry.mAdmitted;
+  mNodes.at(index)->mDependency.CountRun(entry.mCall.mContext.mClass,
+                                         entry.mCalledPools);
   mNodes.at(index)->mUpstream.Leave(aNow, aAttempt);
   if (mPolicy.mAdmission) {
     HandleAdmission(
