--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -14,6 +14,8 @@
 constexpr core::duration kZoneLatency{ 100 };
 constexpr core::duration kRegionLatency{ 1'000 };
 constexpr core::duration kInterRegionLatency{ 20'000 };
+/// Long enough for a slowed deep service, whose calls take up to 250 ms.
+constexpr std::uint32_t kQueueWaitMilliseconds = 200;
 constexpr std::uint16_t kPeerPort = 7000;
 
 std::string
@@ -42,6 +44,7 @@
   , mReport(aReport)
 {
   for (std::size_t service = 0; service < aShape.mServices.size(); ++service) {
+    mServiceOf.emplace(PoolOf(service).mName, service);
     for (std::size_t zone = 0; zone < kOverloadZones; ++zone) {
       AddNode(service, zone);
     }
@@ -63,6 +66,7 @@
   pool.mName = mShape.mServices.at(aService).mName;
   pool.mService.mValue = pool.mName;
   pool.mObjective = mShape.mObjective;
+  pool.mQueueWaitMilliseconds = kQueueWaitMilliseconds;
   return pool;
 }
 
@@ -80,6 +84,7 @@
           {},
           {},
           {},
+          {},
           {} });
   entry->mAdmission.Handle(
     {}, traffic::configuration_changed{ service.mSlots, PoolOf(aService) });
