--- /dev/null
+++ b/Libraries/LibTraffic/Quarantine.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "LibCore/Reasons.h"
+#include "LibCore/Time.h"
+#include "LibTraffic/QuarantineMessages.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+/// Keeps a request that crashes upstreams away from them: one object on each
+/// daemon, for its local upstream.
+///
+/// What was in flight at a crash is suspect. The daemon of the first crash owns
+/// the suspicion: it alone grants trials, one at a time, and a trial runs with
+/// nothing else at its upstream. A trial that crashes is the second crash and
+/// quarantines the request everywhere; without the owner a suspect is refused.
+/// So at most two upstreams crash, provided that the notice of the first crash
+/// has reached a daemon before the request does: the failure is therefore
+/// reported to the sender only after all live daemons of the service have
+/// acknowledged the notice, or after kLongestHold (failure_released).
+namespace cranberryfold::traffic {
+
+inline constexpr core::duration kQuarantineTime = std::chrono::minutes(10);
+/// Longest time that the report of a crash to the sender is held back.
+inline constexpr core::duration kLongestHold = std::chrono::seconds(1);
+
+struct quarantine_settings
+{
+  holder_id mSelf;
+  core::duration mQuarantineTime = kQuarantineTime;
+  core::duration mLongestHold = kLongestHold;
+  core::duration mResendAfter = std::chrono::milliseconds(100);
+  /// A trial without a result counts as a crash after this time.
+  core::duration mTrialLease = std::chrono::seconds(30);
+  /// A suspect waits so long for its trial, then it is refused.
+  core::duration mLongestWait = std::chrono::seconds(3);
+  std::size_t mMaximumSuspects = 10000;
+  /// Switched off by random_run to show what it is for.
+  bool mEnabled = true;
+
+  bool operator==(quarantine_settings const&) const = default;
+};
+
+/// A call has passed admission and is to be sent to the local upstream.
+struct call_ready
+{
+  /// Number by which the daemon knows the call; unique while it lasts.
+  std::uint64_t mCall = 0;
+  suspect_id mSuspect;
+};
+
+/// The upstream answered the call in full.
+struct call_completed
+{
+  std::uint64_t mCall = 0;
+};
+
+/// The call ended without an answer and without a crash, such as by a timeout;
+/// clears nothing.
+struct call_ended
+{
+  std::uint64_t mCall = 0;
+};
+
+/// The local upstream died; all calls in flight are lost.
+struct upstream_crashed
+{};
+
+/// The other live daemons of the service, as membership knows them.
+struct service_peers_changed
+{
+  std::set<core::instance_id> mPeers;
+};
+
+struct quarantine_message_received
+{
+  core::instance_id mFrom;
+  quarantine_message mMessage;
+};
+
+/// To be handled every 100 ms.
+struct quarantine_tick
+{};
+
+using quarantine_event = std::variant<call_ready,
+                                      call_completed,
+                                      call_ended,
+                                      upstream_crashed,
+                                      service_peers_changed,
+                                      quarantine_message_received,
+                                      quarantine_tick>;
+
+/// Send the call to the upstream now.
+struct run_call
+{
+  std::uint64_t mCall = 0;
+  /// Nothing else is in flight, and nothing else is run until it ends.
+  bool mAlone = false;
+
+  bool operator==(run_call const&) const = default;
+};
+
+/// Refuse the call as not run.
+struct refuse_call
+{
+  std::uint64_t mCall = 0;
+  core::refusal_reason mReason = core::refusal_reason::kQuarantined;
+  core::duration mRetryAfter{};
+
+  bool operator==(refuse_call const&) const = default;
+};
+
+/// Report the loss of the call to its sender now (outcome unknown).
+struct failure_released
+{
+  std::uint64_t mCall = 0;
+
+  bool operator==(failure_released const&) const = default;
+};
+
+using quarantine_action = std::
+  variant<send_quarantine_message, run_call, refuse_call, failure_released>;
+
+class quarantine
+{
+public:
+  using actions = std::vector<quarantine_action>;
+
+  explicit quarantine(quarantine_settings aSettings);
+
+  actions Handle(core::time_point aNow, quarantine_event const& aEvent);
+
+  bool IsSuspect(core::time_point aNow, suspect_id aSuspect) const;
+  bool IsQuarantined(core::time_point aNow, suspect_id aSuspect) const;
+  std::size_t Suspects() const { return mSuspects.size(); }
+
+private:
+  struct suspect
+  {
+    std::set<crash_id> mCrashes;
+    core::time_point mExpires;
+  };
+
+  /// The right to run a suspect that this daemon, as owner, has given away.
+  struct granted_trial
+  {
+    suspect_id mSuspect;
+    holder_id mRunner;
+    std::uint64_t mSequence = 0;
+    core::time_point mExpires;
+  };
+
+  /// A local call that waits for, or has, the right to run.
+  struct waiting_call
+  {
+    suspect_id mSuspect;
+    std::uint64_t mSequence = 0;
+    core::time_point mGiveUp;
+    core::time_point mNextSend;
+    bool mGranted = false;
+  };
+
+  struct notice
+  {
+    suspicion_notice mMessage;
+    std::set<core::instance_id> mMissing;
+    std::vector<std::uint64_t> mHeldCalls;
+    core::time_point mHoldUntil;
+    core::time_point mGiveUp;
+    core::time_point mNextSend;
+  };
+
+  struct pending_result
+  {
+    trial_result mMessage;
+    core::instance_id mOwner;
+    core::time_point mGiveUp;
+    core::time_point mNextSend;
+  };
+
+  void On(core::time_point aNow, call_ready const& aEvent);
+  void On(core::time_point aNow, call_completed const& aEvent);
+  void On(core::time_point aNow, call_ended const& aEvent);
+  void On(core::time_point aNow, upstream_crashed const& aEvent);
+  void On(core::time_point aNow, service_peers_changed const& aEvent);
+  void On(core::time_point aNow, quarantine_message_received const& aEvent);
+  void On(core::time_point aNow, quarantine_tick const& aEvent);
+
+  quarantine_settings mSettings;
+  std::set<core::instance_id> mPeers;
+  std::map<std::uint64_t, suspect_id> mInFlight;
+  std::map<suspect_id, suspect> mSuspects;
+  std::map<std::uint64_t, waiting_call> mWaiting;
+  std::map<std::uint64_t, notice> mNotices;
+  std::uint64_t mLastSequence = 0;
+  actions mActions;
+};
+
+}
