--- a/Libraries/LibTraffic/ClaimCoordinator.h
+++ b/Libraries/LibTraffic/ClaimCoordinator.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -145,6 +146,7 @@
   {
     std::string mKey;
     core::time_point mDeadline;
+    core::time_point mWanted;
     phase mPhase = phase::kAsking;
     attempt_id mAttempt;
     shard_id mShard;
@@ -160,7 +162,8 @@
   struct update
   {
     claim_update mMessage;
-    std::vector<core::instance_id> mMissing;
+    std::set<core::instance_id> mMissing;
+    std::set<core::instance_id> mDone;
     core::time_point mGiveUp;
     core::time_point mNextSend;
     core::duration mInterval;
@@ -182,7 +185,7 @@
 
   using claim_iterator = std::map<std::uint64_t, claim>::iterator;
 
-  void StartRound(core::time_point aNow, std::uint64_t aRequest, claim& aClaim);
+  void StartRound(core::time_point aNow, claim_iterator aEntry);
   void SendRequests(core::time_point aNow, claim& aClaim);
   void EndRound(core::time_point aNow, claim& aClaim);
   void Evaluate(core::time_point aNow, claim_iterator aEntry);
@@ -194,11 +197,14 @@
               claim_iterator aEntry,
               claim_answer aAnswer,
               std::string aResponse);
+  void Forget(claim_iterator aEntry);
   void GiveUp(core::time_point aNow, claim_iterator aEntry);
   void SendUpdate(core::time_point aNow,
                   claim const& aClaim,
                   claim_state aState,
                   std::string aResponse);
+  void AddTargets(update& aUpdate);
+  void Send(core::time_point aNow, update& aUpdate);
   void TickClaim(core::time_point aNow, claim_iterator aEntry);
   void TickUpdates(core::time_point aNow);
 
--- a/Libraries/LibTraffic/ClaimHolder.h
+++ b/Libraries/LibTraffic/ClaimHolder.h
@@ -34,8 +34,6 @@
   bool mEpochFence = true;
   bool mHolderRecovery = true;
   bool mLifeFence = true;
-  bool mRelease = true;
-  bool mRetention = true;
 
   bool operator==(claim_mechanisms const&) const = default;
 };
@@ -133,7 +131,7 @@
              claim_verdict aVerdict,
              claim_record const* aRecord);
   void Grant(core::time_point aNow, claim_request const& aRequest);
-  bool IsNewLife(holder_id const& aHolder) const;
+  bool IsFormerLife(holder_id const& aHolder) const;
   void LearnLife(holder_id const& aHolder);
   void RequestCopies(core::time_point aNow,
                      shard_id const& aShard,
--- /dev/null
+++ b/Libraries/LibTraffic/ClaimHolderCopy.cpp
@@ -0,0 +1,230 @@
+#include "LibTraffic/ClaimHolder.h"
+
+#include <algorithm>
+#include <set>
+
+/// Copying of shards between holders: after a restart and for a new group.
+namespace cranberryfold::traffic {
+
+namespace {
+
+constexpr std::size_t kPageBytes = 32UL * 1024UL;
+/// Bounds what requests for unknown shards can make a holder remember.
+constexpr std::size_t kMaximumShards = 10000;
+constexpr core::duration kCopyInterval = std::chrono::milliseconds(200);
+
+/// The present group and the earlier ones, newest first.
+std::vector<claim_group const*>
+ChainOf(claim_shard const& aShard)
+{
+  std::vector<claim_group const*> chain{ &aShard.mGroup };
+  for (auto const& group : aShard.mEarlier) {
+    chain.push_back(&group);
+  }
+  return chain;
+}
+
+}
+
+void
+claim_holder::Receive(core::time_point aNow, copy_request const& aRequest)
+{
+  if (aRequest.mShard.mIndex >= kShardsPerZone ||
+      (mShards.size() >= kMaximumShards &&
+       !mShards.contains(aRequest.mShard))) {
+    return;
+  }
+  auto& status = mShards[aRequest.mShard];
+  // From here on no grant of an older group, and none together with a former
+  // life of the requester, can join a majority that this copy does not show.
+  LearnLife(aRequest.mRequester);
+  status.mFence = std::max(status.mFence, aRequest.mEpoch);
+  auto const* shard = mMap.Find(aRequest.mShard);
+  copy_reply reply;
+  reply.mShard = aRequest.mShard;
+  reply.mSource = mSettings.mSelf;
+  reply.mRequestEpoch = aRequest.mEpoch;
+  reply.mAfterKey = aRequest.mAfterKey;
+  reply.mActiveEpoch = status.mActiveEpoch;
+  reply.mFence = status.mFence;
+  if (shard != nullptr) {
+    reply.mFence = std::max(reply.mFence, shard->mGroup.mEpoch);
+  }
+  reply.mLossRemaining =
+    std::max(core::duration{}, mStart + mSettings.mRetention - aNow);
+  if (mSettings.mMechanisms.mLifeFence) {
+    for (auto const& [instance, life] : mLives) {
+      reply.mKnownLives.push_back({ instance, life });
+    }
+  }
+  reply.mRecords =
+    mStore.Page(aNow, aRequest.mShard, aRequest.mAfterKey, kPageBytes);
+  reply.mLast =
+    reply.mRecords.empty() ||
+    mStore.Page(aNow, aRequest.mShard, reply.mRecords.back().mKey, 1).empty();
+  mActions.push_back(
+    send_claim_message{ aRequest.mRequester.mInstance, std::move(reply) });
+}
+
+void
+claim_holder::RequestCopies(core::time_point aNow,
+                            shard_id const& aShard,
+                            claim_shard const& aGroups)
+{
+  auto& status = mShards[aShard];
+  status.mNextRequest = aNow + kCopyInterval;
+  std::set<core::instance_id> others;
+  for (auto const* group : ChainOf(aGroups)) {
+    for (auto const& holder : group->mHolders) {
+      others.insert(holder.mInstance);
+    }
+  }
+  others.erase(mSettings.mSelf.mInstance);
+  for (auto const& other : others) {
+    auto& known = status.mSources[other];
+    if (IsFormerLife(known.mHolder)) {
+      known = {};
+    }
+    if (!known.mComplete) {
+      RequestPage(aShard, aGroups.mGroup.mEpoch, other, known.mAfterKey);
+    }
+  }
+}
+
+void
+claim_holder::RequestPage(shard_id const& aShard,
+                          claim_epoch aEpoch,
+                          core::instance_id const& aFrom,
+                          std::string const& aAfterKey)
+{
+  mActions.push_back(send_claim_message{
+    aFrom, copy_request{ aShard, mSettings.mSelf, aEpoch, aAfterKey } });
+}
+
+void
+claim_holder::Receive(core::time_point aNow, copy_reply const& aReply)
+{
+  auto const* shard = mMap.Find(aReply.mShard);
+  if (shard == nullptr || !IsHolderOf(*shard) ||
+      aReply.mRequestEpoch != shard->mGroup.mEpoch) {
+    return;
+  }
+  auto& status = mShards[aReply.mShard];
+  auto const found = status.mSources.find(aReply.mSource.mInstance);
+  if (found == status.mSources.end() || found->second.mComplete ||
+      found->second.mAfterKey != aReply.mAfterKey ||
+      status.mActiveEpoch == shard->mGroup.mEpoch) {
+    return;
+  }
+  auto& known = found->second;
+  LearnLife(aReply.mSource);
+  for (auto const& life : aReply.mKnownLives) {
+    LearnLife(life);
+  }
+  status.mFence = std::max(status.mFence, aReply.mFence);
+  if (aReply.mAfterKey.empty()) {
+    known.mHolder = aReply.mSource;
+    known.mActiveEpoch = aReply.mActiveEpoch;
+    known.mLossUntil = aNow + aReply.mLossRemaining;
+  } else if (known.mHolder != aReply.mSource) {
+    // The source restarted between two pages.
+    known = {};
+    return;
+  }
+  for (auto const& record : aReply.mRecords) {
+    if (!mStore.Merge(aNow, aReply.mShard, record)) {
+      return;
+    }
+  }
+  known.mComplete = aReply.mLast;
+  if (aReply.mLast) {
+    TryActivate(aNow, aReply.mShard, *shard);
+    return;
+  }
+  known.mAfterKey = aReply.mRecords.back().mKey;
+  RequestPage(aReply.mShard,
+              shard->mGroup.mEpoch,
+              aReply.mSource.mInstance,
+              known.mAfterKey);
+}
+
+void
+claim_holder::TryActivate(core::time_point aNow,
+                          shard_id const& aShard,
+                          claim_shard const& aGroups)
+{
+  auto& status = mShards[aShard];
+  auto const chain = ChainOf(aGroups);
+  auto const* self = aGroups.mGroup.Find(mSettings.mSelf.mInstance);
+  auto const isSameLife = self->mIncarnation == mSettings.mSelf.mIncarnation;
+  auto const covered = !mSettings.mMechanisms.mHolderRecovery ||
+                       CoversFrom(aNow, status, chain, 0) ||
+                       (isSameLife && CoversFrom(aNow, status, chain, 1));
+  if (!covered) {
+    return;
+  }
+  status.mActiveEpoch = aGroups.mGroup.mEpoch;
+  status.mSources.clear();
+  mActions.push_back(shard_activated{ aShard, status.mActiveEpoch });
+}
+
+claim_holder::source const*
+claim_holder::FindSource(shard_status const& aStatus,
+                         source const& aSelf,
+                         core::instance_id const& aInstance) const
+{
+  if (aInstance == mSettings.mSelf.mInstance) {
+    return &aSelf;
+  }
+  auto const found = aStatus.mSources.find(aInstance);
+  if (found == aStatus.mSources.end() || !found->second.mComplete ||
+      IsFormerLife(found->second.mHolder)) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+/// Whether the sources show every grant of the groups from aFirst on. A source
+/// counts for a group if it has lost no grant in it: it was entitled to grant
+/// in it or a newer one during this life, or it lives as when the group was
+/// formed, or what it lost has expired. An entitled source has copied what the
+/// groups before its own granted, which ends the search.
+bool
+claim_holder::CoversFrom(core::time_point aNow,
+                         shard_status const& aStatus,
+                         std::vector<claim_group const*> const& aChain,
+                         std::size_t aFirst) const
+{
+  source const self{ mSettings.mSelf,
+                     aStatus.mActiveEpoch,
+                     mStart + mSettings.mRetention,
+                     "",
+                     true };
+  for (auto index = aFirst; index < aChain.size(); ++index) {
+    auto const& group = *aChain[index];
+    std::size_t complete = 0;
+    bool anyActive = false;
+    for (auto const& holder : group.mHolders) {
+      auto const* known = FindSource(aStatus, self, holder.mInstance);
+      if (known == nullptr) {
+        continue;
+      }
+      auto const isActive = known->mActiveEpoch >= group.mEpoch;
+      auto const lostNothing =
+        isActive || known->mHolder.mIncarnation == holder.mIncarnation ||
+        (known->mHolder.mIncarnation > holder.mIncarnation &&
+         aNow >= known->mLossUntil);
+      complete += lostNothing ? 1 : 0;
+      anyActive = anyActive || isActive;
+    }
+    if (complete < group.MeetingQuorum()) {
+      return false;
+    }
+    if (anyActive) {
+      return true;
+    }
+  }
+  return true;
+}
+
+}
--- a/Libraries/LibTraffic/ClaimMessages.h
+++ b/Libraries/LibTraffic/ClaimMessages.h
@@ -155,6 +155,10 @@
   claim_epoch mFence;
   /// How long keys that the source lost by its restart may still matter.
   core::duration mLossRemaining{};
+  /// Lives of other holders of which the source knows. What the requester got
+  /// from an earlier life of one of them does not count, since the promise not
+  /// to grant in older groups was lost with that life.
+  std::vector<holder_id> mKnownLives;
   std::vector<copied_record> mRecords;
   bool mLast = false;
 
--- a/Libraries/LibTraffic/ClaimStore.h
+++ b/Libraries/LibTraffic/ClaimStore.h
@@ -31,11 +31,9 @@
                            shard_id const& aShard,
                            std::string const& aKey) const;
 
-  /// Adds or replaces a record. A response that does not fit is dropped, and
-  /// so are older responses. Returns false, changing nothing, when there is no
-  /// room for a new record.
-  bool Put(core::time_point aNow,
-           shard_id const& aShard,
+  /// Adds or replaces a record. A response that does not fit is dropped.
+  /// Returns false, changing nothing, when there is no room for a new record.
+  bool Put(shard_id const& aShard,
            std::string const& aKey,
            stored_claim aClaim);
 
@@ -51,7 +49,8 @@
                                   std::string const& aAfterKey,
                                   std::size_t aMaximumBytes) const;
 
-  /// Removes expired records among the next aCount ones.
+  /// Looks at no more than aCount records, going round, and removes the expired
+  /// ones.
   void Sweep(core::time_point aNow, std::size_t aCount);
 
   std::size_t Records() const { return mRecords; }
@@ -61,8 +60,6 @@
 private:
   using shard_claims = std::map<std::string, stored_claim>;
 
-  void DropResponses(std::size_t aWanted);
-
   std::size_t mMaximumRecords;
   std::size_t mMaximumBytes;
   std::map<shard_id, shard_claims> mShards;
--- a/Libraries/LibTraffic/Quarantine.h
+++ b/Libraries/LibTraffic/Quarantine.h
@@ -5,8 +5,11 @@
 #include "LibTraffic/QuarantineMessages.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -34,7 +37,7 @@
   core::duration mLongestHold = kLongestHold;
   core::duration mResendAfter = std::chrono::milliseconds(100);
   /// A trial without a result counts as a crash after this time.
-  core::duration mTrialLease = std::chrono::seconds(30);
+  core::duration mTrialLease = std::chrono::seconds(60);
   /// A suspect waits so long for its trial, then it is refused.
   core::duration mLongestWait = std::chrono::seconds(3);
   std::size_t mMaximumSuspects = 10000;
@@ -69,10 +72,11 @@
 struct upstream_crashed
 {};
 
-/// The other live daemons of the service, as membership knows them.
+/// The other live daemons of the service, as membership knows them. A daemon
+/// with a new incarnation is told of all suspects.
 struct service_peers_changed
 {
-  std::set<core::instance_id> mPeers;
+  std::set<holder_id> mPeers;
 };
 
 struct quarantine_message_received
@@ -153,14 +157,23 @@
     core::time_point mExpires;
   };
 
-  /// A local call that waits for, or has, the right to run.
+  /// A local call that waits for the right to run, or for the upstream to
+  /// become idle.
   struct waiting_call
   {
     suspect_id mSuspect;
+    core::instance_id mOwner;
     std::uint64_t mSequence = 0;
     core::time_point mGiveUp;
     core::time_point mNextSend;
-    bool mGranted = false;
+  };
+
+  /// The call that has the right to run alone at the local upstream.
+  struct local_trial
+  {
+    std::uint64_t mCall = 0;
+    waiting_call mWaiting;
+    bool mIsRunning = false;
   };
 
   struct notice
@@ -181,6 +194,8 @@
     core::time_point mNextSend;
   };
 
+  using trial_key = std::pair<holder_id, std::uint64_t>;
+
   void On(core::time_point aNow, call_ready const& aEvent);
   void On(core::time_point aNow, call_completed const& aEvent);
   void On(core::time_point aNow, call_ended const& aEvent);
@@ -189,12 +204,69 @@
   void On(core::time_point aNow, quarantine_message_received const& aEvent);
   void On(core::time_point aNow, quarantine_tick const& aEvent);
 
+  void Receive(core::time_point aNow,
+               core::instance_id const& aFrom,
+               suspicion_notice const& aNotice);
+  void Receive(core::time_point aNow,
+               core::instance_id const& aFrom,
+               suspicion_ack const& aAck);
+  void Receive(core::time_point aNow,
+               core::instance_id const& aFrom,
+               trial_request const& aRequest);
+  void Receive(core::time_point aNow,
+               core::instance_id const& aFrom,
+               trial_reply const& aReply);
+  void Receive(core::time_point aNow,
+               core::instance_id const& aFrom,
+               trial_result const& aResult);
+  void Receive(core::time_point aNow,
+               core::instance_id const& aFrom,
+               trial_result_ack const& aAck);
+
+  void Send(core::instance_id const& aTo, quarantine_message aMessage);
+  void Run(std::uint64_t aCall, suspect_id aSuspect, bool aAlone);
+  void Refuse(core::time_point aNow, std::uint64_t aCall, suspect_id aSuspect);
+  void RefuseBusy(std::uint64_t aCall);
+  void AskOwner(core::time_point aNow, waiting_call& aWaiting);
+  void RunTrialIfIdle();
+  void EndLocalTrial(core::time_point aNow, trial_end aEnd, crash_id aCrash);
+  void SendResult(core::time_point aNow,
+                  waiting_call const& aWaiting,
+                  trial_end aEnd,
+                  crash_id aCrash);
+  void AddCrash(core::time_point aNow, suspect_id aSuspect, crash_id aCrash);
+  void Merge(core::time_point aNow, suspicion const& aSuspicion);
+  void Clear(suspicion const& aSuspicion);
+  void ClearEverywhere(core::time_point aNow, suspect_id aSuspect);
+  void MakeRoom();
+  suspicion Describe(core::time_point aNow, suspect_id aSuspect) const;
+  void Notify(core::time_point aNow,
+              suspicion_notice aNotice,
+              std::set<core::instance_id> aPeers,
+              std::vector<std::uint64_t> aHeldCalls);
+  void ReleaseHeld(notice& aNotice);
+  trial_verdict Decide(core::time_point aNow, trial_request const& aRequest);
+  void RefuseWaiting(core::time_point aNow, suspect_id aSuspect);
+  void TickTrial(core::time_point aNow);
+  void TickWaiting(core::time_point aNow);
+  void TickNotices(core::time_point aNow);
+  void TickResults(core::time_point aNow);
+  void TickExpiry(core::time_point aNow);
+
   quarantine_settings mSettings;
-  std::set<core::instance_id> mPeers;
+  std::set<holder_id> mPeers;
   std::map<std::uint64_t, suspect_id> mInFlight;
+  /// Calls that ended without an answer; the upstream may still run them.
+  std::deque<std::pair<core::time_point, suspect_id>> mLingering;
   std::map<suspect_id, suspect> mSuspects;
   std::map<std::uint64_t, waiting_call> mWaiting;
+  std::optional<local_trial> mLocalTrial;
+  std::optional<granted_trial> mGranted;
+  std::deque<trial_key> mEndedTrials;
   std::map<std::uint64_t, notice> mNotices;
+  std::map<std::uint64_t, pending_result> mResults;
+  /// Messages from this daemon to itself, as owner or runner.
+  std::deque<quarantine_message> mLocal;
   std::uint64_t mLastSequence = 0;
   actions mActions;
 };
--- a/Libraries/LibTraffic/QuarantineMessages.h
+++ b/Libraries/LibTraffic/QuarantineMessages.h
@@ -41,8 +41,8 @@
 {
   std::uint64_t mSequence = 0;
   std::vector<suspicion> mSuspicions;
-  /// Suspects that have completed; they are free again.
-  std::vector<suspect_id> mCleared;
+  /// Suspects that have completed, with the crashes that they are cleared of.
+  std::vector<suspicion> mCleared;
 
   bool operator==(suspicion_notice const&) const = default;
 };
@@ -59,6 +59,9 @@
 struct trial_request
 {
   suspect_id mSuspect;
+  /// The crash of which the requester knows; an owner that has restarted since
+  /// does not know what became of the suspect.
+  crash_id mCrash;
   holder_id mRunner;
   std::uint64_t mSequence = 0;
 
@@ -80,17 +83,28 @@
   suspect_id mSuspect;
   std::uint64_t mSequence = 0;
   trial_verdict mVerdict = trial_verdict::kBusy;
+  /// What the owner knows, for kQuarantined.
+  suspicion mSuspicion;
 
   bool operator==(trial_reply const&) const = default;
 };
 
+enum class trial_end : std::uint8_t
+{
+  /// The suspect was not sent to the upstream.
+  kNotRun,
+  kCompleted,
+  /// The upstream crashed, or the suspect ended without an answer.
+  kCrashed,
+};
+
 /// How a trial ended. Repeated until acknowledged.
 struct trial_result
 {
   suspect_id mSuspect;
   holder_id mRunner;
   std::uint64_t mSequence = 0;
-  bool mCrashed = false;
+  trial_end mEnd = trial_end::kNotRun;
   crash_id mCrash;
 
   bool operator==(trial_result const&) const = default;
--- /dev/null
+++ b/Libraries/LibTraffic/QuarantineNotices.cpp
@@ -0,0 +1,130 @@
+#include "LibTraffic/Quarantine.h"
+
+#include <algorithm>
+
+/// Telling the other daemons of the service about suspects.
+namespace cranberryfold::traffic {
+
+namespace {
+
+constexpr std::size_t kMaximumNotices = 1000;
+
+std::set<core::instance_id>
+InstancesOf(std::set<holder_id> const& aPeers)
+{
+  std::set<core::instance_id> instances;
+  for (auto const& peer : aPeers) {
+    instances.insert(peer.mInstance);
+  }
+  return instances;
+}
+
+}
+
+/// Sends aNotice to aPeers, or to all peers when aPeers is empty.
+void
+quarantine::Notify(core::time_point aNow,
+                   suspicion_notice aNotice,
+                   std::set<core::instance_id> aPeers,
+                   std::vector<std::uint64_t> aHeldCalls)
+{
+  notice pending;
+  aNotice.mSequence = ++mLastSequence;
+  pending.mMessage = std::move(aNotice);
+  pending.mMissing = aPeers.empty() ? InstancesOf(mPeers) : std::move(aPeers);
+  pending.mHeldCalls = std::move(aHeldCalls);
+  pending.mHoldUntil = aNow + mSettings.mLongestHold;
+  pending.mGiveUp = aNow + mSettings.mQuarantineTime;
+  pending.mNextSend = aNow + mSettings.mResendAfter;
+  if (!mSettings.mEnabled || pending.mMissing.empty()) {
+    ReleaseHeld(pending);
+    return;
+  }
+  for (auto const& peer : pending.mMissing) {
+    Send(peer, pending.mMessage);
+  }
+  if (mNotices.size() >= kMaximumNotices) {
+    ReleaseHeld(mNotices.begin()->second);
+    mNotices.erase(mNotices.begin());
+  }
+  mNotices.emplace(pending.mMessage.mSequence, std::move(pending));
+}
+
+void
+quarantine::ReleaseHeld(notice& aNotice)
+{
+  for (auto const call : aNotice.mHeldCalls) {
+    mActions.push_back(failure_released{ call });
+  }
+  aNotice.mHeldCalls.clear();
+}
+
+void
+quarantine::Receive(core::time_point aNow,
+                    core::instance_id const& aFrom,
+                    suspicion_notice const& aNotice)
+{
+  Send(aFrom, suspicion_ack{ aNotice.mSequence });
+  if (!mSettings.mEnabled) {
+    return;
+  }
+  for (auto const& known : aNotice.mSuspicions) {
+    if (known.mRemaining > core::duration{} && !known.mCrashes.empty()) {
+      Merge(aNow, known);
+    }
+  }
+  for (auto const& cleared : aNotice.mCleared) {
+    Clear(cleared);
+  }
+}
+
+void
+quarantine::Receive(core::time_point,
+                    core::instance_id const& aFrom,
+                    suspicion_ack const& aAck)
+{
+  auto const found = mNotices.find(aAck.mSequence);
+  if (found == mNotices.end()) {
+    return;
+  }
+  found->second.mMissing.erase(aFrom);
+  if (found->second.mMissing.empty()) {
+    ReleaseHeld(found->second);
+    mNotices.erase(found);
+  }
+}
+
+void
+quarantine::TickNotices(core::time_point aNow)
+{
+  for (auto entry = mNotices.begin(); entry != mNotices.end();) {
+    auto& pending = entry->second;
+    if (pending.mMissing.empty() || aNow >= pending.mHoldUntil) {
+      ReleaseHeld(pending);
+    }
+    if (pending.mMissing.empty() || aNow >= pending.mGiveUp) {
+      entry = mNotices.erase(entry);
+      continue;
+    }
+    if (aNow >= pending.mNextSend) {
+      pending.mNextSend = aNow + mSettings.mResendAfter;
+      for (auto const& peer : pending.mMissing) {
+        Send(peer, pending.mMessage);
+      }
+    }
+    ++entry;
+  }
+}
+
+void
+quarantine::TickExpiry(core::time_point aNow)
+{
+  std::erase_if(mSuspects, [&](auto const& aEntry) {
+    return aEntry.second.mExpires <= aNow;
+  });
+  while (!mLingering.empty() && mLingering.front().first <= aNow) {
+    mLingering.pop_front();
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/QuarantineTrial.cpp
@@ -0,0 +1,262 @@
+#include "LibTraffic/Quarantine.h"
+
+#include "LibCore/Assert.h"
+
+#include <algorithm>
+
+/// The right to run a suspect alone: asking for it, granting it, and its end.
+namespace cranberryfold::traffic {
+
+namespace {
+
+constexpr std::size_t kRememberedTrials = 1000;
+
+}
+
+void
+quarantine::AskOwner(core::time_point aNow, waiting_call& aWaiting)
+{
+  auto const found = mSuspects.find(aWaiting.mSuspect);
+  aWaiting.mNextSend = aNow + mSettings.mResendAfter;
+  if (found == mSuspects.end()) {
+    return;
+  }
+  auto const& crash = *found->second.mCrashes.begin();
+  aWaiting.mOwner = crash.mDaemon.mInstance;
+  Send(aWaiting.mOwner,
+       trial_request{
+         aWaiting.mSuspect, crash, mSettings.mSelf, aWaiting.mSequence });
+}
+
+void
+quarantine::Receive(core::time_point aNow,
+                    core::instance_id const& aFrom,
+                    trial_request const& aRequest)
+{
+  trial_reply reply{ aRequest.mSuspect, aRequest.mSequence };
+  reply.mVerdict = Decide(aNow, aRequest);
+  reply.mSuspicion = Describe(aNow, aRequest.mSuspect);
+  Send(aFrom, std::move(reply));
+}
+
+trial_verdict
+quarantine::Decide(core::time_point aNow, trial_request const& aRequest)
+{
+  if (aRequest.mCrash.mDaemon != mSettings.mSelf) {
+    // A former life of this daemon owned the suspicion, and may have granted a
+    // trial; the suspicion has to expire.
+    return trial_verdict::kBusy;
+  }
+  if (!IsSuspect(aNow, aRequest.mSuspect)) {
+    return trial_verdict::kNotSuspect;
+  }
+  if (IsQuarantined(aNow, aRequest.mSuspect)) {
+    return trial_verdict::kQuarantined;
+  }
+  trial_key const key{ aRequest.mRunner, aRequest.mSequence };
+  if (mGranted) {
+    auto const isSame =
+      key == trial_key{ mGranted->mRunner, mGranted->mSequence };
+    return isSame ? trial_verdict::kGranted : trial_verdict::kBusy;
+  }
+  if (std::ranges::find(mEndedTrials, key) != mEndedTrials.end()) {
+    return trial_verdict::kBusy;
+  }
+  mGranted = { aRequest.mSuspect,
+               aRequest.mRunner,
+               aRequest.mSequence,
+               aNow + mSettings.mTrialLease };
+  return trial_verdict::kGranted;
+}
+
+void
+quarantine::Receive(core::time_point aNow,
+                    core::instance_id const& aFrom,
+                    trial_reply const& aReply)
+{
+  auto const entry = std::ranges::find_if(mWaiting, [&](auto const& aEntry) {
+    return aEntry.second.mSequence == aReply.mSequence;
+  });
+  auto const isLocalTrial =
+    mLocalTrial && mLocalTrial->mWaiting.mSequence == aReply.mSequence;
+  if (entry == mWaiting.end()) {
+    if (aReply.mVerdict == trial_verdict::kGranted && !isLocalTrial &&
+        !mResults.contains(aReply.mSequence)) {
+      // The call has gone; without an answer the owner would take the trial
+      // for a crash.
+      waiting_call gone{ aReply.mSuspect, aFrom, aReply.mSequence };
+      SendResult(aNow, gone, trial_end::kNotRun, {});
+    }
+    return;
+  }
+  auto const [call, waiting] = *entry;
+  switch (aReply.mVerdict) {
+    case trial_verdict::kBusy:
+      return;
+    case trial_verdict::kQuarantined:
+      Merge(aNow, aReply.mSuspicion);
+      return;
+    case trial_verdict::kNotSuspect:
+      mSuspects.erase(waiting.mSuspect);
+      mWaiting.erase(entry);
+      On(aNow, call_ready{ call, waiting.mSuspect });
+      return;
+    case trial_verdict::kGranted:
+      break;
+  }
+  mWaiting.erase(call);
+  if (mLocalTrial || IsQuarantined(aNow, waiting.mSuspect)) {
+    SendResult(aNow, waiting, trial_end::kNotRun, {});
+    Refuse(aNow, call, waiting.mSuspect);
+    return;
+  }
+  mLocalTrial = { call, waiting, false };
+  RunTrialIfIdle();
+}
+
+void
+quarantine::RunTrialIfIdle()
+{
+  if (!mLocalTrial || mLocalTrial->mIsRunning || !mInFlight.empty()) {
+    return;
+  }
+  mLocalTrial->mIsRunning = true;
+  Run(mLocalTrial->mCall, mLocalTrial->mWaiting.mSuspect, true);
+}
+
+void
+quarantine::EndLocalTrial(core::time_point aNow,
+                          trial_end aEnd,
+                          crash_id aCrash)
+{
+  CF_ASSERT(mLocalTrial.has_value(), "no trial is going on");
+  auto const ended = *mLocalTrial;
+  mLocalTrial.reset();
+  SendResult(aNow, ended.mWaiting, aEnd, aCrash);
+  if (aEnd == trial_end::kNotRun) {
+    Refuse(aNow, ended.mCall, ended.mWaiting.mSuspect);
+  }
+}
+
+void
+quarantine::SendResult(core::time_point aNow,
+                       waiting_call const& aWaiting,
+                       trial_end aEnd,
+                       crash_id aCrash)
+{
+  pending_result pending;
+  pending.mMessage = { aWaiting.mSuspect,
+                       mSettings.mSelf,
+                       aWaiting.mSequence,
+                       aEnd,
+                       std::move(aCrash) };
+  pending.mOwner = aWaiting.mOwner;
+  pending.mGiveUp = aNow + mSettings.mQuarantineTime;
+  pending.mNextSend = aNow + mSettings.mResendAfter;
+  Send(pending.mOwner, pending.mMessage);
+  mResults[aWaiting.mSequence] = std::move(pending);
+}
+
+void
+quarantine::Receive(core::time_point aNow,
+                    core::instance_id const& aFrom,
+                    trial_result const& aResult)
+{
+  trial_key const key{ aResult.mRunner, aResult.mSequence };
+  Send(aFrom, trial_result_ack{ aResult.mSuspect, aResult.mSequence });
+  if (mGranted && key == trial_key{ mGranted->mRunner, mGranted->mSequence }) {
+    mGranted.reset();
+  }
+  if (std::ranges::find(mEndedTrials, key) != mEndedTrials.end()) {
+    return;
+  }
+  mEndedTrials.push_back(key);
+  if (mEndedTrials.size() > kRememberedTrials) {
+    mEndedTrials.pop_front();
+  }
+  if (aResult.mEnd == trial_end::kCrashed) {
+    AddCrash(aNow, aResult.mSuspect, aResult.mCrash);
+  }
+  if (aResult.mEnd == trial_end::kCompleted &&
+      IsSuspect(aNow, aResult.mSuspect)) {
+    ClearEverywhere(aNow, aResult.mSuspect);
+  }
+}
+
+void
+quarantine::Receive(core::time_point,
+                    core::instance_id const&,
+                    trial_result_ack const& aAck)
+{
+  mResults.erase(aAck.mSequence);
+}
+
+/// Refuses the local calls that wait for a trial of a suspect that is in
+/// quarantine now.
+void
+quarantine::RefuseWaiting(core::time_point aNow, suspect_id aSuspect)
+{
+  for (auto entry = mWaiting.begin(); entry != mWaiting.end();) {
+    auto const current = entry++;
+    if (current->second.mSuspect == aSuspect) {
+      Refuse(aNow, current->first, aSuspect);
+      mWaiting.erase(current);
+    }
+  }
+  if (mLocalTrial && !mLocalTrial->mIsRunning &&
+      mLocalTrial->mWaiting.mSuspect == aSuspect) {
+    EndLocalTrial(aNow, trial_end::kNotRun, {});
+  }
+}
+
+void
+quarantine::TickTrial(core::time_point aNow)
+{
+  if (!mGranted || aNow < mGranted->mExpires) {
+    return;
+  }
+  // Nothing is known of the trial: it counts as a crash.
+  auto const lost = *mGranted;
+  mGranted.reset();
+  AddCrash(aNow, lost.mSuspect, { lost.mRunner, lost.mSequence });
+  Notify(aNow, { 0, { Describe(aNow, lost.mSuspect) }, {} }, {}, {});
+}
+
+void
+quarantine::TickWaiting(core::time_point aNow)
+{
+  for (auto entry = mWaiting.begin(); entry != mWaiting.end();) {
+    auto const current = entry++;
+    auto const id = current->second.mSuspect;
+    auto const call = current->first;
+    if (!IsSuspect(aNow, id)) {
+      mWaiting.erase(current);
+      On(aNow, call_ready{ call, id });
+    } else if (aNow >= current->second.mGiveUp) {
+      mWaiting.erase(current);
+      Refuse(aNow, call, id);
+    } else if (aNow >= current->second.mNextSend) {
+      AskOwner(aNow, current->second);
+    }
+  }
+  if (mLocalTrial && !mLocalTrial->mIsRunning &&
+      aNow >= mLocalTrial->mWaiting.mGiveUp) {
+    EndLocalTrial(aNow, trial_end::kNotRun, {});
+  }
+}
+
+void
+quarantine::TickResults(core::time_point aNow)
+{
+  std::erase_if(mResults, [&](auto const& aEntry) {
+    return aNow >= aEntry.second.mGiveUp;
+  });
+  for (auto& [sequence, pending] : mResults) {
+    if (aNow >= pending.mNextSend) {
+      pending.mNextSend = aNow + mSettings.mResendAfter;
+      Send(pending.mOwner, pending.mMessage);
+    }
+  }
+}
+
+}
