--- a/Libraries/LibTraffic/ClaimCoordinator.cpp
+++ b/Libraries/LibTraffic/ClaimCoordinator.cpp
@@ -166,7 +166,7 @@
     if (aClaim.mReplies.contains(holder.mInstance)) {
       continue;
     }
-    mActions.push_back(send_claim_message{
+    mActions.emplace_back(send_claim_message{
       holder.mInstance,
       claim_request{
         aClaim.mAttempt, aClaim.mShard, aClaim.mGroup.mEpoch, aClaim.mKey } });
@@ -250,7 +250,7 @@
   auto const grants = ValidGrants(open);
   if (!sawFinal && !timedOut && grants >= majority) {
     open.mPhase = phase::kGranted;
-    mActions.push_back(claim_granted{
+    mActions.emplace_back(claim_granted{
       aEntry->first, open.mAttempt, open.mRoundStart + kDispatchWindow });
     return;
   }
@@ -303,7 +303,7 @@
   auto const reason = aAnswer == claim_answer::kNotRun
                         ? core::refusal_reason::kClaimUnavailable
                         : core::refusal_reason::kClaimHeld;
-  mActions.push_back(
+  mActions.emplace_back(
     claim_answered{ aEntry->first, aAnswer, reason, std::move(aResponse) });
   if (mayHoldGrants) {
     SendUpdate(aNow, open, claim_state::kReleased, "");
--- a/Libraries/LibTraffic/ClaimCoordinatorUpdates.cpp
+++ b/Libraries/LibTraffic/ClaimCoordinatorUpdates.cpp
@@ -74,7 +74,7 @@
   aUpdate.mNextSend = aNow + aUpdate.mInterval;
   aUpdate.mInterval = std::min(aUpdate.mInterval * 2, kLongestInterval);
   for (auto const& holder : aUpdate.mMissing) {
-    mActions.push_back(send_claim_message{ holder, aUpdate.mMessage });
+    mActions.emplace_back(send_claim_message{ holder, aUpdate.mMessage });
   }
 }
 
--- a/Libraries/LibTraffic/ClaimHolder.cpp
+++ b/Libraries/LibTraffic/ClaimHolder.cpp
@@ -198,7 +198,7 @@
       }
     }
   }
-  mActions.push_back(
+  mActions.emplace_back(
     send_claim_message{ aRequest.mAttempt.mCoordinator.mInstance, reply });
 }
 
@@ -231,7 +231,7 @@
     }
     mStore.Put(aUpdate.mShard, aUpdate.mKey, std::move(claim));
   }
-  mActions.push_back(send_claim_message{
+  mActions.emplace_back(send_claim_message{
     aUpdate.mAttempt.mCoordinator.mInstance,
     claim_update_ack{ aUpdate.mAttempt, mSettings.mSelf.mInstance } });
 }
--- a/Libraries/LibTraffic/ClaimHolderCopy.cpp
+++ b/Libraries/LibTraffic/ClaimHolderCopy.cpp
@@ -62,7 +62,7 @@
   reply.mLast =
     reply.mRecords.empty() ||
     mStore.Page(aNow, aRequest.mShard, reply.mRecords.back().mKey, 1).empty();
-  mActions.push_back(
+  mActions.emplace_back(
     send_claim_message{ aRequest.mRequester.mInstance, std::move(reply) });
 }
 
@@ -97,7 +97,7 @@
                           core::instance_id const& aFrom,
                           std::string const& aAfterKey)
 {
-  mActions.push_back(send_claim_message{
+  mActions.emplace_back(send_claim_message{
     aFrom, copy_request{ aShard, mSettings.mSelf, aEpoch, aAfterKey } });
 }
 
@@ -165,7 +165,7 @@
   }
   status.mActiveEpoch = aGroups.mGroup.mEpoch;
   status.mSources.clear();
-  mActions.push_back(shard_activated{ aShard, status.mActiveEpoch });
+  mActions.emplace_back(shard_activated{ aShard, status.mActiveEpoch });
 }
 
 claim_holder::source const*
--- a/Libraries/LibTraffic/ClaimMessages.h
+++ b/Libraries/LibTraffic/ClaimMessages.h
@@ -172,6 +172,14 @@
                                    copy_request,
                                    copy_reply>;
 
+/// Whether a daemon hands aMessage to its coordinator; else to its holder.
+inline bool
+IsForCoordinator(claim_message const& aMessage)
+{
+  return std::holds_alternative<claim_reply>(aMessage) ||
+         std::holds_alternative<claim_update_ack>(aMessage);
+}
+
 /// A message for another daemon, or for the holder or coordinator of the same
 /// daemon when mTo is the own instance.
 struct send_claim_message
--- a/Libraries/LibTraffic/Quarantine.cpp
+++ b/Libraries/LibTraffic/Quarantine.cpp
@@ -206,7 +206,7 @@
     mLocal.push_back(std::move(aMessage));
     return;
   }
-  mActions.push_back(send_quarantine_message{ aTo, std::move(aMessage) });
+  mActions.emplace_back(send_quarantine_message{ aTo, std::move(aMessage) });
 }
 
 void
@@ -214,7 +214,7 @@
 {
   CF_ASSERT(!aAlone || mInFlight.empty(), "a suspect does not run alone");
   mInFlight[aCall] = aSuspect;
-  mActions.push_back(run_call{ aCall, aAlone });
+  mActions.emplace_back(run_call{ aCall, aAlone });
 }
 
 void
@@ -227,13 +227,13 @@
   if (IsQuarantined(aNow, aSuspect)) {
     refusal.mRetryAfter = mSuspects.at(aSuspect).mExpires - aNow;
   }
-  mActions.push_back(refusal);
+  mActions.emplace_back(refusal);
 }
 
 void
 quarantine::RefuseBusy(std::uint64_t aCall)
 {
-  mActions.push_back(
+  mActions.emplace_back(
     refuse_call{ aCall, core::refusal_reason::kNotReady, kBusyRetryAfter });
 }
 
--- a/Libraries/LibTraffic/QuarantineNotices.cpp
+++ b/Libraries/LibTraffic/QuarantineNotices.cpp
@@ -54,7 +54,7 @@
 quarantine::ReleaseHeld(notice& aNotice)
 {
   for (auto const call : aNotice.mHeldCalls) {
-    mActions.push_back(failure_released{ call });
+    mActions.emplace_back(failure_released{ call });
   }
   aNotice.mHeldCalls.clear();
 }
