--- a/Utilities/RandomRun/TrafficCalls.cpp
+++ b/Utilities/RandomRun/TrafficCalls.cpp
@@ -12,6 +12,8 @@
 constexpr core::duration kCallerTimeout = std::chrono::milliseconds(3500);
 constexpr std::size_t kDispatchTries = 3;
 constexpr std::uint64_t kResendSpread = 1500;
+/// In milliseconds; longer than the dispatch window.
+constexpr std::uint64_t kLongestStall = 12000;
 
 traffic::suspect_id
 SuspectOf(caller_request const& aRequest)
@@ -94,6 +96,11 @@
   mCounters.mClaimTime += time;
   mCounters.mLongestClaimTime = std::max(mCounters.mLongestClaimTime, time);
   // The daemon may be stopped between the grant and the dispatch.
+  if (mRandom.Chance(mStallChance)) {
+    ++mCounters.mFaults["stalls_before_dispatch"];
+    auto const stall = static_cast<std::int64_t>(mRandom.Below(kLongestStall));
+    Freeze(aDaemon, std::chrono::milliseconds(stall));
+  }
   WhenAwake(aDaemon, [this, aDaemon, aAction] {
     if (mNow > aAction.mDispatchBefore) {
       FinishRoot(
--- a/Utilities/RandomRun/TrafficRun.cpp
+++ b/Utilities/RandomRun/TrafficRun.cpp
@@ -13,9 +13,11 @@
   "claims",     "majority",  "epoch_fence", "holder_recovery",
   "life_fence", "retention", "quarantine"
 };
-/// Fresh keys are claimed again at the latest when all that restarted holders
-/// may have lost has expired.
-constexpr core::duration kSettleMargin = std::chrono::seconds(3);
+constexpr double kStallChance = 0.002;
+/// Time for the last resends, the lease of a lost trial and some messages.
+/// After it and the retention time fresh keys are claimed again: by then all
+/// that restarted holders may have lost has expired.
+constexpr core::duration kSettleMargin = std::chrono::seconds(17);
 constexpr core::duration kProbeTime = std::chrono::seconds(3);
 constexpr std::size_t kProbes = 60;
 constexpr std::uint64_t kLongestStep = 10;
@@ -31,6 +33,7 @@
 
   void Run()
   {
+    mWorld.SetStalls(kStallChance);
     for (std::uint64_t step = 0; step < mOptions.mSteps; ++step) {
       RandomFault();
       RandomRequest();
@@ -221,6 +224,7 @@
     mWorld.HealAll();
     mWorld.SetNetworkFaults({});
     mWorld.SetAnswerLoss(0);
+    mWorld.SetStalls(0);
     mWorld.Advance(mWorld.Settings().mRetention + kSettleMargin);
     std::vector<std::size_t> probes;
     for (std::size_t index = 0; index < kProbes; ++index) {
--- a/Utilities/RandomRun/TrafficUpstreams.cpp
+++ b/Utilities/RandomRun/TrafficUpstreams.cpp
@@ -100,6 +100,12 @@
       });
     }
   }
+}
+
+void
+traffic_world::EndLateCalls(std::size_t aDaemon)
+{
+  auto& self = *mDaemons[aDaemon];
   std::vector<std::uint64_t> late;
   for (auto const& [local, call] : self.mLocals) {
     if (mNow >= call.mDeadline) {
@@ -108,9 +114,7 @@
   }
   for (auto const local : late) {
     self.mLocals.erase(local);
-    WhenAwake(aDaemon, [this, aDaemon, local] {
-      ToQuarantine(aDaemon, traffic::call_ended{ local });
-    });
+    ToQuarantine(aDaemon, traffic::call_ended{ local });
   }
 }
 
--- a/Utilities/RandomRun/TrafficWorld.cpp
+++ b/Utilities/RandomRun/TrafficWorld.cpp
@@ -138,8 +138,8 @@
       }
     });
   }
-  if (mPeersDue && mNow >= *mPeersDue) {
-    mPeersDue.reset();
+  if (mNow >= mNextPeers) {
+    mNextPeers = mNow + kMembershipDelay;
     AnnouncePeers();
   }
   if (mNow >= mNextSpread) {
@@ -169,6 +169,7 @@
     next();
   }
   CheckRootDeadlines(aDaemon);
+  EndLateCalls(aDaemon);
   if (mNow >= self.mNextTick) {
     self.mNextTick = mNow + kTick;
     ToHolder(aDaemon, traffic::claim_tick{});
@@ -406,7 +407,6 @@
   }
   Disturb();
   mLastDisturbance = std::max(mLastDisturbance, self.mUpAt + kMembershipDelay);
-  mPeersDue = self.mUpAt + kMembershipDelay;
 }
 
 void
--- a/Utilities/RandomRun/TrafficWorld.h
+++ b/Utilities/RandomRun/TrafficWorld.h
@@ -151,6 +151,8 @@
   void SetNetworkFaults(network_faults const& aFaults);
   /// Chance that an answer to a caller is lost.
   void SetAnswerLoss(double aChance) { mAnswerLoss = aChance; }
+  /// Chance that a daemon stops between a grant and its dispatch.
+  void SetStalls(double aChance) { mStallChance = aChance; }
   void Cut(std::size_t aFrom, std::size_t aTo);
   void IsolateZone(std::size_t aZone);
   void HealAll();
@@ -275,6 +277,7 @@
                    traffic::dispatch_outcome aOutcome,
                    std::string const& aResponse);
   void RunUpstream(std::size_t aDaemon);
+  void EndLateCalls(std::size_t aDaemon);
   void UpstreamDied(std::size_t aDaemon);
   void AnnouncePeers();
   void Disturb();
@@ -290,13 +293,14 @@
   std::map<core::instance_id, std::size_t> mIndexes;
   std::vector<caller_request> mRequests;
   double mAnswerLoss = 0;
+  double mStallChance = 0;
   /// The newest map, as the control replicas have it, and all before it.
   std::vector<traffic::claim_map> mMaps;
   std::map<std::pair<traffic::shard_id, traffic::claim_epoch>,
            std::set<std::size_t>>
     mActivated;
   core::time_point mNextSpread;
-  std::optional<core::time_point> mPeersDue;
+  core::time_point mNextPeers;
   /// Last time at which a cut, a freeze or a restart kept a daemon of the
   /// service from hearing of a crash.
   core::time_point mLastDisturbance;
