--- a/Utilities/RandomRun/TrafficRun.cpp
+++ b/Utilities/RandomRun/TrafficRun.cpp
@@ -21,6 +21,7 @@
 constexpr core::duration kProbeTime = std::chrono::seconds(3);
 constexpr std::size_t kProbes = 60;
 constexpr std::uint64_t kLongestStep = 10;
+constexpr std::size_t kBurst = 40;
 
 class traffic_run
 {
@@ -169,10 +170,35 @@
         Count("answer_loss_changes");
         return mWorld.SetAnswerLoss(Random().Fraction() * 0.3);
       default:
-        return;
+        return BurstAndRestart();
     }
   }
 
+  /// Many pairs of competing claims while messages are slow and a holder loses
+  /// its memory: late grants meet the copies of the new life.
+  void BurstAndRestart()
+  {
+    Count("bursts_with_restart");
+    network_faults faults;
+    faults.mMaximumDelay = Between(50, 300);
+    mWorld.SetNetworkFaults(faults);
+    auto const zone =
+      static_cast<std::size_t>(Random().Below(mWorld.Settings().mZones));
+    for (std::size_t count = 0; count < kBurst; ++count) {
+      caller_request request;
+      request.mName = "b" + std::to_string(mWorld.RequestCount());
+      request.mKey = mWorld.ZoneName(zone) + "/" + request.mName;
+      request.mServiceTime = Between(2, 40);
+      auto const index = mWorld.Submit(request, AnyDaemon());
+      mWorld.Resend(index, AnyDaemon());
+    }
+    mWorld.Advance(Between(1, 150));
+    auto const inZone = static_cast<std::size_t>(
+      Random().Below(mWorld.Settings().mDaemonsPerZone));
+    mWorld.Restart(zone * mWorld.Settings().mDaemonsPerZone + inZone,
+                   Between(1, 20));
+  }
+
   void RestartSome()
   {
     Count("restarts");
