--- /dev/null
+++ b/Tests/LibTraffic/TestClaimCoordinator.cpp
@@ -0,0 +1,210 @@
+#include "ClaimWorld.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace cranberryfold;
+using namespace cranberryfold::traffic;
+using namespace cranberryfold::traffic::test;
+
+namespace {
+
+std::string const kKey = "z/order-1";
+
+template<class Action>
+std::vector<Action>
+Pick(claim_coordinator::actions const& aActions)
+{
+  std::vector<Action> picked;
+  for (auto const& action : aActions) {
+    if (auto const* match = std::get_if<Action>(&action)) {
+      picked.push_back(*match);
+    }
+  }
+  return picked;
+}
+
+struct one_coordinator
+{
+  claim_map mMap = MapOf({ "a", "b", "c" });
+  core::random_source mRandom{ 1 };
+  claim_coordinator mCoordinator{ { Life("root") }, mRandom };
+  claim_request mRequest;
+
+  one_coordinator()
+  {
+    mCoordinator.Handle(At(0), claim_map_installed{ mMap });
+    auto const actions =
+      mCoordinator.Handle(At(0), claim_wanted{ 1, kKey, At(2500) });
+    mRequest =
+      std::get<claim_request>(Pick<send_claim_message>(actions)[0].mMessage);
+  }
+
+  claim_reply ReplyOf(std::string const& aHolder,
+                      claim_verdict aVerdict,
+                      claim_state aState = claim_state::kClaimed,
+                      std::string aResponse = "")
+  {
+    return { mRequest.mAttempt,
+             Life(aHolder),
+             mRequest.mEpoch,
+             aVerdict,
+             aState,
+             aResponse,
+             {} };
+  }
+
+  claim_coordinator::actions Take(int aTime, claim_reply const& aReply)
+  {
+    return mCoordinator.Handle(
+      At(aTime), claim_message_received{ aReply.mHolder.mInstance, aReply });
+  }
+
+  /// Ticks until the caller is answered.
+  std::vector<claim_answered> TickUntilAnswered()
+  {
+    for (int time = 100; time < 5000; time += 50) {
+      auto const answers =
+        Pick<claim_answered>(mCoordinator.Handle(At(time), claim_tick{}));
+      if (!answers.empty()) {
+        return answers;
+      }
+    }
+    return {};
+  }
+};
+
+std::size_t
+Releases(claim_coordinator::actions const& aActions)
+{
+  auto const sent = Pick<send_claim_message>(aActions);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(sent, [](send_claim_message const& aSend) {
+      auto const* update = std::get_if<claim_update>(&aSend.mMessage);
+      return update != nullptr && update->mState == claim_state::kReleased;
+    }));
+}
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(ClaimCoordinator, one_coordinator)
+
+BOOST_AUTO_TEST_CASE(DispatchesOnceAtAMajority)
+{
+  auto const granted = claim_verdict::kGranted;
+  BOOST_TEST(Pick<claim_granted>(Take(1, ReplyOf("a", granted))).empty());
+  BOOST_TEST(Pick<claim_granted>(Take(1, ReplyOf("a", granted))).empty());
+  BOOST_TEST(Pick<claim_granted>(Take(2, ReplyOf("b", granted))).size() == 1U);
+  BOOST_TEST(Pick<claim_granted>(Take(3, ReplyOf("c", granted))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAsNotRunAndReleasesWithoutAMajority)
+{
+  Take(1, ReplyOf("a", claim_verdict::kGranted));
+  auto const answers = TickUntilAnswered();
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].mAnswer == claim_answer::kNotRun));
+  BOOST_TEST((answers[0].mReason == core::refusal_reason::kClaimUnavailable));
+  BOOST_TEST(mCoordinator.PendingUpdates() > 0U);
+}
+
+// Guards against a dispatch under an attempt that was given up already.
+BOOST_AUTO_TEST_CASE(IgnoresGrantsAfterTheRound)
+{
+  Take(1, ReplyOf("a", claim_verdict::kGranted));
+  auto const ended = mCoordinator.Handle(At(400), claim_tick{});
+  BOOST_TEST(Releases(ended) == 3U);
+  BOOST_TEST(
+    Pick<claim_granted>(Take(401, ReplyOf("b", claim_verdict::kGranted)))
+      .empty());
+}
+
+// A holder that was restarted after its grant may have granted the key anew.
+BOOST_AUTO_TEST_CASE(DoesNotCountTheGrantOfAFormerLife)
+{
+  Take(1, ReplyOf("a", claim_verdict::kGranted));
+  auto second = ReplyOf("b", claim_verdict::kGranted);
+  second.mKnownLives = { Life("a", 2) };
+  BOOST_TEST(Pick<claim_granted>(Take(2, second)).empty());
+  auto renewed = ReplyOf("a", claim_verdict::kGranted);
+  renewed.mHolder = Life("a", 2);
+  BOOST_TEST(Pick<claim_granted>(Take(3, renewed)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAResendWithTheStoredResponse)
+{
+  auto const answers = Pick<claim_answered>(Take(
+    1, ReplyOf("a", claim_verdict::kHeld, claim_state::kCompleted, "body")));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].mAnswer == claim_answer::kStoredResponse));
+  BOOST_TEST(answers[0].mResponse == "body");
+}
+
+BOOST_AUTO_TEST_CASE(SaysThatTheAnswerIsGone)
+{
+  auto const gone = ReplyOf("a", claim_verdict::kHeld, claim_state::kCompleted);
+  BOOST_TEST(Pick<claim_answered>(Take(1, gone)).empty());
+  auto const answers = Pick<claim_answered>(
+    Take(2, ReplyOf("b", claim_verdict::kHeld, claim_state::kCompleted)));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].mAnswer == claim_answer::kRanAnswerGone));
+}
+
+// Guards against a run after its end was recorded where the others forgot it.
+BOOST_AUTO_TEST_CASE(DoesNotDispatchWhenOneHolderKnowsAnEnd)
+{
+  Take(1, ReplyOf("a", claim_verdict::kGranted));
+  Take(2, ReplyOf("b", claim_verdict::kHeld, claim_state::kUnknown));
+  auto const answers =
+    Pick<claim_answered>(Take(3, ReplyOf("c", claim_verdict::kGranted)));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].mAnswer == claim_answer::kUnknown));
+}
+
+// Guards against "not run" for a request that another daemon may be running.
+BOOST_AUTO_TEST_CASE(CompetingAttemptIsUnknownNotNotRun)
+{
+  Take(1, ReplyOf("a", claim_verdict::kHeld));
+  auto const ended = Take(2, ReplyOf("b", claim_verdict::kHeld));
+  BOOST_TEST(Releases(ended) == 1U);
+  auto const answers = TickUntilAnswered();
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].mAnswer == claim_answer::kUnknown));
+  BOOST_TEST((answers[0].mReason == core::refusal_reason::kClaimHeld));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsTheOutcomeUntilAcknowledged)
+{
+  Take(1, ReplyOf("a", claim_verdict::kGranted));
+  Take(2, ReplyOf("b", claim_verdict::kGranted));
+  mCoordinator.Handle(At(10),
+                      dispatch_finished{ 1, dispatch_outcome::kRan, "body" });
+  for (auto const* name : { "a", "b" }) {
+    mCoordinator.Handle(
+      At(11),
+      claim_message_received{
+        { name }, claim_update_ack{ mRequest.mAttempt, { name } } });
+  }
+  auto const repeated =
+    Pick<send_claim_message>(mCoordinator.Handle(At(200), claim_tick{}));
+  BOOST_REQUIRE(repeated.size() == 1U);
+  BOOST_TEST(repeated[0].mTo.mValue == "c");
+  mCoordinator.Handle(
+    At(201),
+    claim_message_received{ { "c" },
+                            claim_update_ack{ mRequest.mAttempt, { "c" } } });
+  BOOST_TEST(mCoordinator.PendingUpdates() == 0U);
+}
+
+// Guards against a majority that is put together from two groups.
+BOOST_AUTO_TEST_CASE(StartsAnewWhenTheGroupChanges)
+{
+  Take(1, ReplyOf("a", claim_verdict::kGranted));
+  auto const next = MapOf({ "a", "b", "d" }, mMap);
+  mCoordinator.Handle(At(2), claim_map_installed{ next });
+  BOOST_TEST(Pick<claim_granted>(Take(3, ReplyOf("b", claim_verdict::kGranted)))
+               .empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibTraffic/TestQuarantine.cpp
@@ -0,0 +1,211 @@
+#include "LibTraffic/Quarantine.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <memory>
+
+using namespace cranberryfold;
+using namespace cranberryfold::traffic;
+
+namespace {
+
+suspect_id const kPoison{ 7 };
+suspect_id const kBystander{ 8 };
+
+core::time_point
+At(int aMilliseconds)
+{
+  return core::time_point(std::chrono::hours(1)) +
+         std::chrono::milliseconds(aMilliseconds);
+}
+
+/// Three daemons of one service that hear each other at once, but for those in
+/// mCut.
+struct service
+{
+  std::map<std::string, std::unique_ptr<quarantine>> mDaemons;
+  std::map<std::string, std::vector<run_call>> mRuns;
+  std::map<std::string, std::vector<refuse_call>> mRefusals;
+  std::map<std::string, std::vector<failure_released>> mReleased;
+  std::string mCut;
+
+  service()
+  {
+    for (auto const* name : { "a", "b", "c" }) {
+      Start(name, 1);
+    }
+    for (auto const* name : { "a", "b", "c" }) {
+      Do(0, name, Peers(name, 1));
+    }
+  }
+
+  void Start(std::string const& aName, std::uint64_t aLife)
+  {
+    quarantine_settings settings;
+    settings.mSelf = { { aName }, { aLife } };
+    mDaemons[aName] = std::make_unique<quarantine>(settings);
+  }
+
+  service_peers_changed Peers(std::string const& aSelf, std::uint64_t aLifeOfA)
+  {
+    service_peers_changed event;
+    for (std::string const name : { "a", "b", "c" }) {
+      if (name != aSelf) {
+        event.mPeers.insert({ { name }, { name == "a" ? aLifeOfA : 1 } });
+      }
+    }
+    return event;
+  }
+
+  void Do(int aTime, std::string const& aName, quarantine_event const& aEvent)
+  {
+    for (auto const& action : mDaemons[aName]->Handle(At(aTime), aEvent)) {
+      if (auto const* run = std::get_if<run_call>(&action)) {
+        mRuns[aName].push_back(*run);
+      } else if (auto const* refusal = std::get_if<refuse_call>(&action)) {
+        mRefusals[aName].push_back(*refusal);
+      } else if (auto const* held = std::get_if<failure_released>(&action)) {
+        mReleased[aName].push_back(*held);
+      } else if (auto const& send = std::get<send_quarantine_message>(action);
+                 mCut.find(send.mTo.mValue) == std::string::npos &&
+                 mCut.find(aName) == std::string::npos) {
+        Do(aTime,
+           send.mTo.mValue,
+           quarantine_message_received{ { aName }, send.mMessage });
+      }
+    }
+  }
+
+  /// The upstream of a crashes while it runs the poison and a bystander.
+  void CrashAtA()
+  {
+    Do(1, "a", call_ready{ 1, kPoison });
+    Do(1, "a", call_ready{ 2, kBystander });
+    Do(2, "a", upstream_crashed{});
+  }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(Quarantine, service)
+
+BOOST_AUTO_TEST_CASE(SecondCrashQuarantinesEverywhere)
+{
+  CrashAtA();
+  Do(10, "b", call_ready{ 3, kPoison });
+  BOOST_REQUIRE(mRuns["b"].size() == 1U);
+  BOOST_TEST(mRuns["b"][0].mAlone);
+  Do(20, "b", upstream_crashed{});
+  for (auto const* name : { "a", "b", "c" }) {
+    Do(30, name, call_ready{ 4, kPoison });
+    BOOST_REQUIRE(mRefusals[name].size() == 1U);
+    BOOST_TEST(
+      (mRefusals[name][0].mReason == core::refusal_reason::kQuarantined));
+    BOOST_TEST((mRefusals[name][0].mRetryAfter > std::chrono::minutes(9)));
+  }
+  auto const end = 60 * 1000 * 11;
+  Do(end, "c", quarantine_tick{});
+  BOOST_TEST(mDaemons["c"]->Suspects() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(BystanderIsFreeEverywhereOnceItCompletes)
+{
+  CrashAtA();
+  Do(10, "b", call_ready{ 3, kBystander });
+  Do(20, "b", call_completed{ 3 });
+  for (auto const* name : { "a", "b", "c" }) {
+    BOOST_TEST(!mDaemons[name]->IsSuspect(At(21), kBystander));
+    BOOST_TEST(mDaemons[name]->IsSuspect(At(21), kPoison));
+  }
+}
+
+// Guards against two upstreams that run suspects at the same time.
+BOOST_AUTO_TEST_CASE(GrantsOneTrialAtATime)
+{
+  CrashAtA();
+  Do(10, "b", call_ready{ 3, kPoison });
+  Do(11, "c", call_ready{ 4, kPoison });
+  BOOST_TEST(mRuns["b"].size() == 1U);
+  BOOST_TEST(mRuns["c"].empty());
+  Do(20, "b", upstream_crashed{});
+  BOOST_TEST(mRuns["c"].empty());
+  BOOST_TEST(mRefusals["c"].size() == 1U);
+}
+
+// Guards against a trial that makes a suspect of what runs beside it.
+BOOST_AUTO_TEST_CASE(TrialWaitsUntilTheUpstreamIsIdle)
+{
+  CrashAtA();
+  Do(5, "b", call_ready{ 3, { 20 } });
+  Do(10, "b", call_ready{ 4, kPoison });
+  BOOST_TEST(mRuns["b"].size() == 1U);
+  Do(11, "b", call_ready{ 5, { 21 } });
+  BOOST_TEST((mRefusals["b"].at(0).mReason == core::refusal_reason::kNotReady));
+  Do(12, "b", call_completed{ 3 });
+  BOOST_TEST(mRuns["b"].size() == 2U);
+  BOOST_TEST(mRuns["b"].back().mAlone);
+}
+
+// Guards against a resend that arrives before the notice of the crash.
+BOOST_AUTO_TEST_CASE(HoldsTheFailureBackUntilPeersKnow)
+{
+  mCut = "c";
+  CrashAtA();
+  BOOST_TEST(mReleased["a"].empty());
+  mCut = "";
+  Do(200, "a", quarantine_tick{});
+  BOOST_TEST(mReleased["a"].size() == 2U);
+  BOOST_TEST(mDaemons["c"]->IsSuspect(At(201), kPoison));
+}
+
+BOOST_AUTO_TEST_CASE(ReportsTheFailureThoughAPeerIsSilent)
+{
+  mCut = "c";
+  CrashAtA();
+  Do(1100, "a", quarantine_tick{});
+  BOOST_TEST(mReleased["a"].size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesASuspectWithoutItsOwner)
+{
+  CrashAtA();
+  mCut = "a";
+  Do(10, "b", call_ready{ 3, kPoison });
+  for (int time = 100; time < 3500; time += 100) {
+    Do(time, "b", quarantine_tick{});
+  }
+  BOOST_TEST(mRuns["b"].empty());
+  BOOST_TEST(mRefusals["b"].size() == 1U);
+}
+
+// A restarted owner does not know whether a trial is going on.
+BOOST_AUTO_TEST_CASE(RestartedOwnerGrantsNothing)
+{
+  CrashAtA();
+  Start("a", 2);
+  Do(10, "b", Peers("b", 2));
+  BOOST_TEST(mDaemons["a"]->IsSuspect(At(11), kPoison));
+  Do(12, "b", call_ready{ 3, kPoison });
+  BOOST_TEST(mRuns["b"].empty());
+}
+
+BOOST_AUTO_TEST_CASE(TrialThatIsNeverReportedCountsAsACrash)
+{
+  CrashAtA();
+  Do(10, "b", call_ready{ 3, kPoison });
+  mCut = "b";
+  Do(61000, "a", quarantine_tick{});
+  BOOST_TEST(mDaemons["c"]->IsQuarantined(At(61001), kPoison));
+}
+
+// A cancelled call may still run, and then crash the upstream.
+BOOST_AUTO_TEST_CASE(SuspectsACallThatTimedOutShortlyBefore)
+{
+  Do(1, "a", call_ready{ 1, kPoison });
+  Do(2, "a", call_ended{ 1 });
+  Do(500, "a", upstream_crashed{});
+  BOOST_TEST(mDaemons["b"]->IsSuspect(At(501), kPoison));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
