LibDaemon: Claim non-idempotent requests and quarantine crashing ones

Cause: the decision objects for claims and quarantine had no place in the daemon yet. A request with a key on a non-idempotent route is claimed before its first attempt and its answer recorded; an admitted call passes the quarantine, and a lost call whose upstream refuses connections counts as in flight at a crash.

--- a/Libraries/LibDaemon/Asio.h
+++ b/Libraries/LibDaemon/Asio.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -37,6 +37,14 @@
 {
   bool mayHaveRun = false;
   for (;;) {
+    if (Now() >= mDispatchLimit) {
+      co_return call_result{ false,
+                             false,
+                             { mayHaveRun ? outcome::kUnknown
+                                          : outcome::kNotRun,
+                               refusal_reason::kClaimUnavailable,
+                               {} } };
+    }
     auto choice = mServices.mPolicy.Choose(
       Now(), mRequest.mContext, mRequest.mRoute.mPool, mTried);
     call_result result;
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -74,6 +74,8 @@
   {
     mOnBodyTaken = std::move(aHook);
   }
+  /// No attempt starts at or after aLimit.
+  void SetDispatchLimit(core::time_point aLimit) { mDispatchLimit = aLimit; }
   /// Stops the call since nobody waits for its answer.
   void Abandon();
 
@@ -104,6 +106,7 @@
   bool mBodyEndSent = false;
   std::optional<traffic::load_stamp> mLastStamp;
   std::uint64_t mAttemptBytes = 0;
+  core::time_point mDispatchLimit = core::time_point::max();
 };
 
 }
--- a/Libraries/LibDaemon/CallServer.cpp
+++ b/Libraries/LibDaemon/CallServer.cpp
@@ -105,7 +105,7 @@
       return true;
     }
     if (auto const* const message = std::get_if<traffic_message>(&aFrame)) {
-      mHooks.mOnTrafficMessage(*message, mHello.mPeerAddress);
+      mHooks.mOnTrafficMessage(*message, mHello);
       return true;
     }
     if (auto* const envelope = std::get_if<control_frame>(&aFrame)) {
--- a/Libraries/LibDaemon/CallServer.h
+++ b/Libraries/LibDaemon/CallServer.h
@@ -13,8 +13,7 @@
 {
   /// A peer's daemon sent its first frame.
   std::function<void(hello const&)> mOnHello;
-  std::function<void(traffic_message const&, core::address const&)>
-    mOnTrafficMessage;
+  std::function<void(traffic_message const&, hello const&)> mOnTrafficMessage;
   std::function<void(std::string)> mOnControlEnvelope;
 };
 
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -13,17 +13,6 @@
 
 constexpr core::duration kViewCheckInterval = 1s;
 
-/// Start time of the process, by which later lives have higher incarnations.
-core::incarnation
-StartIncarnation()
-{
-  static auto const start = std::chrono::system_clock::now();
-  return { static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      start.time_since_epoch())
-      .count()) };
-}
-
 membership::announcement
 OwnAnnouncement(daemon_settings const& aSettings)
 {
@@ -99,6 +88,16 @@
 
 }
 
+core::incarnation
+StartIncarnation()
+{
+  static auto const start = std::chrono::system_clock::now();
+  return { static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      start.time_since_epoch())
+      .count()) };
+}
+
 control_plane::control_plane(asio::io_context& aContext,
                              daemon_settings const& aSettings,
                              metrics& aMetrics,
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -14,6 +14,11 @@
 
 namespace cranberryfold::daemon {
 
+/// Start time of this process in milliseconds since 1970; later lives have
+/// higher incarnations.
+core::incarnation
+StartIncarnation();
+
 /// Everything that runs on the control thread: membership, dissemination of
 /// the tables and, on a control replica, consensus. All calls come from the
 /// control thread.
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto kHealthInterval = 250ms;
 constexpr core::duration kAdmissionTick = 10ms;
+constexpr core::duration kClaimTick = 100ms;
 constexpr core::duration kSenderInterval = 1s;
 /// Time for the drain announcement to reach senders before an idle daemon
 /// leaves.
@@ -30,6 +31,12 @@
     static_cast<std::uint64_t>(Now().time_since_epoch().count()));
 }
 
+traffic::holder_id
+SelfAsHolder(daemon_settings const& aSettings)
+{
+  return { aSettings.mInstance, StartIncarnation() };
+}
+
 membership::lifecycle_state
 ToLifecycle(std::string const& aState)
 {
@@ -49,20 +56,28 @@
 mesh_daemon::mesh_daemon(daemon_settings aSettings)
   : mSettings(std::move(aSettings))
   , mPolicy(mSettings, Now(), SeedFor(mSettings))
+  , mMessenger([this](core::address const& aTo, traffic_message aMessage) {
+    auto& thread = *mThreads.front();
+    asio::dispatch(thread.Context(),
+                   [&thread, aTo, message = std::move(aMessage)] {
+                     thread.Links().To(aTo).Send(message);
+                   });
+  })
+  , mClaims(SelfAsHolder(mSettings), Now(), SeedFor(mSettings), mMessenger)
+  , mQuarantine(SelfAsHolder(mSettings), mMessenger)
   , mSignals(mContext, SIGTERM, SIGINT)
   , mControl(mContext,
              mSettings,
              mMetrics,
              [this](std::shared_ptr<routing_view const> aView) {
-               mPolicy.SetView(Now(), std::move(aView));
+               OnView(std::move(aView));
              })
   , mAdmin(mContext, mSettings, mControl, mPolicy, mMetrics, [this] {
     return mLifecycle->State();
   })
 {
-  shared_services const shared{
-    mSettings, mPolicy, mMetrics, mPermits, mRequests
-  };
+  shared_services const shared{ mSettings, mPolicy, mMetrics,   mPermits,
+                                mRequests, mClaims, mQuarantine };
   for (std::uint32_t index = 0; index < mSettings.mTrafficThreads; ++index) {
     mThreads.push_back(std::make_unique<traffic_thread>(shared));
     mThreads.back()->SetPeerHooks(MakePeerHooks(*mThreads.back()));
@@ -106,13 +121,29 @@
   });
 }
 
+void
+mesh_daemon::OnView(std::shared_ptr<routing_view const> aView)
+{
+  mMessenger.SetView(*aView);
+  std::set<traffic::holder_id> peers;
+  for (auto const& member : aView->mMembers) {
+    bool const isPeer = member.mService == mSettings.mUpstream.mService &&
+                        member.mInstance != mSettings.mInstance &&
+                        !member.mIsDoubtful;
+    if (isPeer) {
+      peers.insert({ member.mInstance, member.mIncarnation });
+    }
+  }
+  mQuarantine.SetPeers(Now(), std::move(peers));
+  mPolicy.SetView(Now(), std::move(aView));
+}
+
 call_server_hooks
 mesh_daemon::MakePeerHooks(traffic_thread& aThread)
 {
   return {
     [](hello const&) {},
-    [this, &aThread](traffic_message const& aMessage,
-                     core::address const& aPeer) {
+    [this, &aThread](traffic_message const& aMessage, hello const& aPeer) {
       OnTrafficMessage(aThread, aMessage, aPeer);
     },
     [this](std::string aEnvelope) {
@@ -126,11 +157,26 @@
 void
 mesh_daemon::OnTrafficMessage(traffic_thread& aThread,
                               traffic_message const& aMessage,
-                              core::address const& aPeer)
+                              hello const& aPeer)
 {
-  if (aMessage.mTopic != traffic_topic::kRetryPermits) {
-    return;
+  switch (aMessage.mTopic) {
+    case traffic_topic::kRetryPermits:
+      AnswerPermits(aThread, aMessage, aPeer);
+      return;
+    case traffic_topic::kClaims:
+      mClaims.OnMessage(Now(), aPeer.mInstance, aMessage.mPayload);
+      return;
+    case traffic_topic::kQuarantine:
+      mQuarantine.OnMessage(Now(), aPeer.mInstance, aMessage.mPayload);
+      return;
   }
+}
+
+void
+mesh_daemon::AnswerPermits(traffic_thread& aThread,
+                           traffic_message const& aMessage,
+                           hello const& aPeer)
+{
   auto const message =
     core::Attempt([&] { return DecodePermitMessage(aMessage.mPayload); });
   if (!message) {
@@ -145,8 +191,10 @@
   auto const& request = std::get<permit_request>(*message);
   permit_answer const answer{ request.mId,
                               mPolicy.TakePermit(Now(), request.mRequest) };
-  aThread.Links().To(aPeer).Send(traffic_message{
-    traffic_topic::kRetryPermits, EncodePermitMessage(answer) });
+  aThread.Links()
+    .To(aPeer.mPeerAddress)
+    .Send(traffic_message{ traffic_topic::kRetryPermits,
+                           EncodePermitMessage(answer) });
 }
 
 core::result<void>
@@ -194,6 +242,10 @@
   timers.Every(Now(), kAdmissionTick, [this](core::time_point aNow) {
     mPolicy.Tick(aNow);
   });
+  timers.Every(Now(), kClaimTick, [this](core::time_point aNow) {
+    mClaims.Tick(aNow);
+    mQuarantine.Tick(aNow);
+  });
   timers.Every(Now(), kSenderInterval, [this](core::time_point) {
     mControl.NoteSenders(mPolicy.TakeSenders());
     mMetrics.SetGauge("calls_in_flight",
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -51,12 +51,19 @@
   void OnUpstreamHealth(unsigned aStatus);
   void OnTrafficMessage(traffic_thread& aThread,
                         traffic_message const& aMessage,
-                        core::address const& aPeer);
+                        hello const& aPeer);
+  void AnswerPermits(traffic_thread& aThread,
+                     traffic_message const& aMessage,
+                     hello const& aPeer);
+  void OnView(std::shared_ptr<routing_view const> aView);
 
   daemon_settings mSettings;
   metrics mMetrics;
   traffic_policy mPolicy;
   permit_exchange mPermits;
+  peer_messenger mMessenger;
+  claim_service mClaims;
+  quarantine_service mQuarantine;
   request_counter mRequests{ 0 };
   asio::io_context mContext{ 1 };
   asio::signal_set mSignals;
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Hash.h"
 #include "LibCore/Log.h"
+#include "LibDaemon/ClaimedCall.h"
 #include "LibDaemon/HttpFields.h"
 #include "LibTables/TableRules.h"
 
@@ -43,6 +44,9 @@
   if (aRefusal.mOutcome == outcome::kNotRun) {
     return http::status::service_unavailable;
   }
+  if (aRefusal.mReason == refusal_reason::kClaimHeld) {
+    return http::status::conflict;
+  }
   return aRefusal.mReason == refusal_reason::kDeadlineExceeded
            ? http::status::gateway_timeout
            : http::status::bad_gateway;
@@ -212,8 +216,10 @@
                       [this](std::string_view aBytes, bool aIsLast) {
                         return WriteChunk(aBytes, aIsLast);
                       } };
+    auto const key = ClaimKeyFor(aRequest);
+    auto const recorder = std::make_shared<answer_recorder>(sink);
     auto const runner = std::make_shared<call_runner>(
-      Outgoing(), std::move(aRequest), std::move(sink));
+      Outgoing(), std::move(aRequest), key ? recorder->Sink() : sink);
     runner->SetBodyTakenHook([this] { mRoom.Notify(); });
     mIsReading = true;
     asio::co_spawn(
@@ -224,7 +230,18 @@
     if (isRoot) {
       Outgoing().mPolicy.OpenBudget(Now(), context, extraTries);
     }
-    auto const result = co_await runner->Run();
+    call_result result;
+    if (key) {
+      result = co_await RunClaimed(mServices.mClaims,
+                                   Outgoing().mExecutor,
+                                   runner,
+                                   *key,
+                                   context.mDeadline,
+                                   recorder,
+                                   sink);
+    } else {
+      result = co_await runner->Run();
+    }
     if (isRoot) {
       Outgoing().mPolicy.CloseBudget(context.mRequest);
     }
--- a/Libraries/LibDaemon/HttpServer.h
+++ b/Libraries/LibDaemon/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDaemon/CallRunner.h"
+#include "LibDaemon/ClaimService.h"
 
 #include <atomic>
 #include <memory>
@@ -23,6 +24,7 @@
 {
   outgoing_services& mOutgoing;
   request_counter& mRequests;
+  claim_service& mClaims;
 };
 
 /// Serves one accepted HTTP connection to its end.
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/IncomingCall.h"
 
+#include "LibCore/Hash.h"
 #include "LibDaemon/HttpFields.h"
 
 #include <algorithm>
@@ -25,6 +26,12 @@
   std::optional<admission_decision> mDecision;
 };
 
+/// Keeps the quarantine's decision in the same way.
+struct quarantine_box
+{
+  std::optional<std::optional<traffic::refuse_suspect>> mDecision;
+};
+
 bool
 PromisesNotRun(http::response<http::buffer_body> const& aResponse)
 {
@@ -87,6 +94,14 @@
     SendRefusal(*decision);
     co_return;
   }
+  auto const suspected = co_await WaitForQuarantine();
+  if (suspected) {
+    mServices.mPolicy.Cancel(Now(), mCall);
+    mServices.mMetrics.CountRefusal(refusal_place::kAdmission,
+                                    suspected->mReason);
+    SendRefusal(*suspected);
+    co_return;
+  }
   mAdmitted = Now();
   auto const failure = co_await RunAdmitted();
   auto const now = Now();
@@ -95,6 +110,7 @@
   } else {
     mServices.mPolicy.Finish(now, mCall, !failure, now - mAdmitted);
   }
+  co_await EndQuarantine(failure);
   if (failure) {
     mServices.mMetrics.CountRefusal(refusal_place::kAdmission,
                                     failure->mReason);
@@ -126,6 +142,87 @@
                           {} };
 }
 
+traffic::suspect_id
+incoming_call::SuspectId() const
+{
+  if (!mHead.mContext.mKey.empty()) {
+    return { core::Hash64(mHead.mContext.mKey) };
+  }
+  auto const request = core::Hash64(mHead.mMethod + " " + mHead.mTarget);
+  return { mBody.empty() ? request
+                         : core::Hash64(mBody.front().mBytes, request) };
+}
+
+task<std::optional<call_refusal>>
+incoming_call::WaitForQuarantine()
+{
+  // The first bytes of the body are part of what tells requests apart.
+  while (mHead.mHasBody && mBody.empty() && !mIsCancelled) {
+    co_await mBodySignal.Wait(mHead.mContext.mDeadline);
+    if (Now() >= mHead.mContext.mDeadline) {
+      break;
+    }
+  }
+  auto const box = std::make_shared<quarantine_box>();
+  auto const onDecision = [box, self = shared_from_this()](
+                            std::optional<traffic::refuse_suspect> aRefusal) {
+    asio::post(self->mServices.mExecutor, [box, self, aRefusal] {
+      box->mDecision = aRefusal;
+      self->mSignal.Notify();
+    });
+  };
+  mQuarantineCall = mServices.mQuarantine.Ready(Now(), SuspectId(), onDecision);
+  while (!box->mDecision && !mIsCancelled) {
+    co_await mSignal.Wait();
+  }
+  if (!box->mDecision) {
+    mServices.mQuarantine.Ended(Now(), mQuarantineCall);
+    co_return call_refusal{ outcome::kNotRun,
+                            refusal_reason::kDeadlineExceeded,
+                            {} };
+  }
+  if (!box->mDecision->has_value()) {
+    co_return std::nullopt;
+  }
+  auto const& refused = **box->mDecision;
+  co_return call_refusal{ outcome::kNotRun,
+                          refused.mReason,
+                          refused.mRetryAfter };
+}
+
+task<void>
+incoming_call::EndQuarantine(std::optional<call_refusal> aFailure)
+{
+  auto& quarantine = mServices.mQuarantine;
+  if (!aFailure && !mIsCancelled) {
+    quarantine.Completed(Now(), mQuarantineCall);
+    co_return;
+  }
+  bool const isLost = aFailure && aFailure->mOutcome == outcome::kUnknown &&
+                      aFailure->mReason == refusal_reason::kUpstreamLost;
+  bool hasCrashed = false;
+  if (isLost) {
+    bool const isListening = co_await IsListening(
+      mServices.mExecutor, mServices.mSettings.mUpstream.mAddress);
+    hasCrashed = !isListening;
+  }
+  if (!hasCrashed) {
+    quarantine.Ended(Now(), mQuarantineCall);
+    co_return;
+  }
+  auto const isReleased = std::make_shared<bool>(false);
+  quarantine.Crashed(
+    Now(), mQuarantineCall, [isReleased, self = shared_from_this()] {
+      asio::post(self->mServices.mExecutor, [isReleased, self] {
+        *isReleased = true;
+        self->mSignal.Notify();
+      });
+    });
+  while (!*isReleased) {
+    co_await mSignal.Wait();
+  }
+}
+
 task<std::optional<call_refusal>>
 incoming_call::RunAdmitted()
 {
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -2,6 +2,7 @@
 
 #include "LibDaemon/FrameChannel.h"
 #include "LibDaemon/Metrics.h"
+#include "LibDaemon/QuarantineService.h"
 #include "LibDaemon/TrafficPolicy.h"
 #include "LibDaemon/UpstreamClient.h"
 
@@ -23,6 +24,7 @@
   traffic_policy& mPolicy;
   metrics& mMetrics;
   upstream_pool& mUpstreams;
+  quarantine_service& mQuarantine;
 };
 
 /// One call from a peer to the local upstream: admission, HTTP exchange,
@@ -58,6 +60,12 @@
     upstream_connection& aConnection,
     response_parser& aParser);
   task<admission_decision> WaitForAdmission();
+  /// Waits until the call may run despite suspicions; nothing when it may.
+  task<std::optional<call_refusal>> WaitForQuarantine();
+  /// Tells the quarantine how the call ended. When the upstream has crashed,
+  /// waits until the loss may be reported.
+  task<void> EndQuarantine(std::optional<call_refusal> aFailure);
+  traffic::suspect_id SuspectId() const;
   task<bool> WaitForCredit();
   void SendAnswerHead(response_parser const& aParser);
   void SendRefusal(call_refusal const& aRefusal);
@@ -69,6 +77,7 @@
   signal mSignal;
   signal mBodySignal;
   traffic::call_id mCall;
+  std::uint64_t mQuarantineCall = 0;
   core::time_point mAdmitted;
   std::shared_ptr<upstream_connection> mConnection;
   std::deque<body_chunk> mBody;
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -29,18 +29,15 @@
            CallsHello(aShared.mSettings),
            aShared.mMetrics)
   , mUpstreams(mContext.get_executor(), aShared.mSettings.mUpstream.mAddress)
-  , mIncoming{ mContext.get_executor(),
-               aShared.mSettings,
-               aShared.mPolicy,
-               aShared.mMetrics,
-               mUpstreams }
+  , mIncoming{ mContext.get_executor(), aShared.mSettings, aShared.mPolicy,
+               aShared.mMetrics,        mUpstreams,        aShared.mQuarantine }
   , mOutgoing{ mContext.get_executor(),
                aShared.mSettings,
                aShared.mPolicy,
                aShared.mMetrics,
                mLinks,
                aShared.mPermits }
-  , mHttp{ mOutgoing, aShared.mRequests }
+  , mHttp{ mOutgoing, aShared.mRequests, aShared.mClaims }
 {
 }
 
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -18,6 +18,8 @@
   metrics& mMetrics;
   permit_exchange& mPermits;
   request_counter& mRequests;
+  claim_service& mClaims;
+  quarantine_service& mQuarantine;
 };
 
 /// One thread that carries calls: its event loop, its links to peers and its
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -77,6 +77,13 @@
   }
 }
 
+task<bool>
+IsListening(asio::any_io_executor aExecutor, core::address aUpstream)
+{
+  auto const connection = co_await OpenConnection(aExecutor, aUpstream);
+  co_return connection != nullptr;
+}
+
 task<unsigned>
 CheckHealth(asio::any_io_executor aExecutor,
             core::address aUpstream,
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -37,6 +37,10 @@
   std::vector<std::shared_ptr<upstream_connection>> mIdle;
 };
 
+/// Returns whether the upstream accepts a connection.
+task<bool>
+IsListening(asio::any_io_executor aExecutor, core::address aUpstream);
+
 /// Asks the upstream's health endpoint once. Returns the HTTP status, or 0
 /// when it cannot be reached.
 task<unsigned>
--- a/Libraries/LibTraffic/Quarantine.cpp
+++ b/Libraries/LibTraffic/Quarantine.cpp
@@ -222,7 +222,7 @@
                    std::uint64_t aCall,
                    suspect_id aSuspect)
 {
-  refuse_call refusal{ aCall, core::refusal_reason::kQuarantined };
+  refuse_suspect refusal{ aCall, core::refusal_reason::kQuarantined };
   refusal.mRetryAfter = kBusyRetryAfter;
   if (IsQuarantined(aNow, aSuspect)) {
     refusal.mRetryAfter = mSuspects.at(aSuspect).mExpires - aNow;
@@ -234,7 +234,7 @@
 quarantine::RefuseBusy(std::uint64_t aCall)
 {
   mActions.emplace_back(
-    refuse_call{ aCall, core::refusal_reason::kNotReady, kBusyRetryAfter });
+    refuse_suspect{ aCall, core::refusal_reason::kNotReady, kBusyRetryAfter });
 }
 
 suspicion
--- a/Libraries/LibTraffic/Quarantine.h
+++ b/Libraries/LibTraffic/Quarantine.h
@@ -108,13 +108,13 @@
 };
 
 /// Refuse the call as not run.
-struct refuse_call
+struct refuse_suspect
 {
   std::uint64_t mCall = 0;
   core::refusal_reason mReason = core::refusal_reason::kQuarantined;
   core::duration mRetryAfter{};
 
-  bool operator==(refuse_call const&) const = default;
+  bool operator==(refuse_suspect const&) const = default;
 };
 
 /// Report the loss of the call to its sender now (outcome unknown).
@@ -126,7 +126,7 @@
 };
 
 using quarantine_action = std::
-  variant<send_quarantine_message, run_call, refuse_call, failure_released>;
+  variant<send_quarantine_message, run_call, refuse_suspect, failure_released>;
 
 class quarantine
 {
--- a/Tests/LibTraffic/TestQuarantine.cpp
+++ b/Tests/LibTraffic/TestQuarantine.cpp
@@ -26,7 +26,7 @@
 {
   std::map<std::string, std::unique_ptr<quarantine>> mDaemons;
   std::map<std::string, std::vector<run_call>> mRuns;
-  std::map<std::string, std::vector<refuse_call>> mRefusals;
+  std::map<std::string, std::vector<refuse_suspect>> mRefusals;
   std::map<std::string, std::vector<failure_released>> mReleased;
   std::string mCut;
 
@@ -63,7 +63,7 @@
     for (auto const& action : mDaemons[aName]->Handle(At(aTime), aEvent)) {
       if (auto const* run = std::get_if<run_call>(&action)) {
         mRuns[aName].push_back(*run);
-      } else if (auto const* refusal = std::get_if<refuse_call>(&action)) {
+      } else if (auto const* refusal = std::get_if<refuse_suspect>(&action)) {
         mRefusals[aName].push_back(*refusal);
       } else if (auto const* held = std::get_if<failure_released>(&action)) {
         mReleased[aName].push_back(*held);
--- a/Utilities/RandomRun/TrafficWorld.h
+++ b/Utilities/RandomRun/TrafficWorld.h
@@ -266,7 +266,7 @@
   void ToQuarantine(std::size_t aDaemon,
                     traffic::quarantine_event const& aEvent);
   void Apply(std::size_t aDaemon, traffic::run_call const& aAction);
-  void Apply(std::size_t aDaemon, traffic::refuse_call const& aAction);
+  void Apply(std::size_t aDaemon, traffic::refuse_suspect const& aAction);
   void Apply(std::size_t aDaemon, traffic::failure_released const& aAction);
   void Apply(std::size_t aDaemon,
              traffic::send_quarantine_message const& aAction);
