--- a/Libraries/LibMembership/DirectoryState.cpp
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -90,6 +90,12 @@
   mDetector.Forget();
   mWatch.Restart(mNow);
   mLastHeard = mNow;
+  RestartSuspicions();
+}
+
+void
+directory_state::RestartSuspicions()
+{
   for (auto& [hash, deadline] : mSuspicions) {
     deadline = mNow + kSuspicionTimeout;
   }
@@ -120,14 +126,15 @@
 void
 directory_state::ExpireSuspicions()
 {
+  // A suspect gets its whole time once messages arrive again; it could not
+  // refute before.
+  if (DistrustsItself()) {
+    RestartSuspicions();
+    return;
+  }
   std::vector<std::uint64_t> expired;
-  for (auto& [hash, deadline] : mSuspicions) {
-    if (mNow < deadline) {
-      continue;
-    }
-    if (DistrustsItself()) {
-      deadline = mNow + kSuspicionTimeout;
-    } else {
+  for (auto const& [hash, deadline] : mSuspicions) {
+    if (mNow >= deadline) {
       expired.push_back(hash);
     }
   }
--- a/Libraries/LibMembership/DirectoryState.h
+++ b/Libraries/LibMembership/DirectoryState.h
@@ -71,6 +71,7 @@
   void NotePause();
   void Probe();
   void ExpireSuspicions();
+  void RestartSuspicions();
   void WatchZones();
   void Synchronise();
   void PushDrain();
--- a/Utilities/RandomRun/MembershipFaults.cpp
+++ b/Utilities/RandomRun/MembershipFaults.cpp
@@ -304,7 +304,7 @@
 membership_run::IsUndisturbed(std::size_t aNode, core::time_point aSince) const
 {
   auto const& node = mFleet.Nodes()[aNode];
-  return node.mDisturbed <= aSince && mZoneDisturbed[node.mZone] <= aSince;
+  return node.mDisturbed < aSince && mZoneDisturbed[node.mZone] < aSince;
 }
 
 std::size_t
--- a/Utilities/RandomRun/MembershipRun.cpp
+++ b/Utilities/RandomRun/MembershipRun.cpp
@@ -26,6 +26,14 @@
   std::fflush(stdout);
 }
 
+/// Others neither probe nor inform a daemon that has left.
+bool
+IsPresent(fleet_node const& aNode)
+{
+  return aNode.IsUp() && aNode.mDirectory->Own().mLifecycle !=
+                           membership::lifecycle_state::kLeft;
+}
+
 /// An invariant inside a decision object aborts; the trace is printed first.
 extern "C" void
 PrintTraceOnAbort(int /*aSignal*/)
@@ -145,7 +153,7 @@
 membership_run::CheckRevisions() const
 {
   for (auto const& node : mFleet.Nodes()) {
-    if (!node.IsUp()) {
+    if (!IsPresent(node)) {
       continue;
     }
     auto const revision = node.mDistributor->Revision();
@@ -163,7 +171,7 @@
 {
   std::optional<std::vector<membership::member>> first;
   for (auto const& node : mFleet.Nodes()) {
-    if (!node.IsUp()) {
+    if (!IsPresent(node)) {
       continue;
     }
     auto const view = node.mDirectory->Members();
@@ -205,9 +213,7 @@
     bool const isCurrent =
       !node.IsUp() || (found != known.end() &&
                        found->second.mAnnouncement == node.mDirectory->Own());
-    bool const isPresent = node.IsUp() && node.mDirectory->Own().mLifecycle !=
-                                            membership::lifecycle_state::kLeft;
-    if (isAlive != isPresent || !isCurrent) {
+    if (isAlive != IsPresent(node) || !isCurrent) {
       throw violation{ node.mFirst.mInstance.mValue + " is " +
                        (node.IsUp() ? "up" : "down") +
                        ", but all see something else 9 s after the faults "
