--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -93,6 +93,8 @@
   Install(aEvent.mRevision, hash, aEvent.mTables);
   if (isNext) {
     Remember(std::move(delta));
+  } else {
+    mHistory.clear();
   }
   if (aEvent.mIsLeader && mSettings.mPush) {
     PushToRelays(before);
@@ -183,6 +185,9 @@
   Install(aMessage.mRevision,
           aMessage.mHash,
           std::make_shared<tables::table_set const>(aMessage.mTables));
+  // The delta to this revision is unknown; a history with a gap would be sent
+  // to peers that cannot apply it.
+  mHistory.clear();
   if (!aMessage.mRange) {
     PushToZone(before);
   }
@@ -195,13 +200,9 @@
   std::shared_ptr<tables::table_set const> aTables)
 {
   CF_ASSERT(aRevision > mRevision, "the revision in force would go back");
-  bool const isNext = aRevision.mValue == mRevision.mValue + 1;
   mRevision = aRevision;
   mHash = aHash;
   mTables = std::move(aTables);
-  if (!isNext) {
-    mHistory.clear();
-  }
   mActions.emplace_back(tables_installed{ mRevision, mHash, mTables });
 }
 
--- a/Libraries/LibMembership/DirectoryMessages.cpp
+++ b/Libraries/LibMembership/DirectoryMessages.cpp
@@ -67,7 +67,8 @@
     (aMessage.mUpdates.size() > kLargeBatch && IsZonePeer(aFrom));
   MergeAll(aMessage.mUpdates,
            isKnownInZone || !IsSettled() ? spread::kNone : spread::kPush);
-  if (mAwaitsMembers && !aMessage.mUpdates.empty()) {
+  if (mNow < mMembersExpected && !aMessage.mUpdates.empty()) {
+    mMembersExpected = mNow;
     NoteJoined();
   }
 }
@@ -112,8 +113,13 @@
   for (auto const& summary : aMessage.mZones) {
     CompareSummary(summary, exchange);
   }
-  mAwaitsMembers = mAwaitsMembers || !exchange.mWanted.empty();
-  if (!mAwaitsMembers) {
+  // All members together are large; a joining daemon fetches them once, not
+  // from each seed that answers.
+  if (mNow < mMembersExpected) {
+    exchange.mWanted.clear();
+  } else if (!exchange.mWanted.empty() && !mJoinedAt) {
+    mMembersExpected = mNow + kJoinTimeout;
+  } else {
     NoteJoined();
   }
   if (exchange != entry_exchange{}) {
--- a/Libraries/LibMembership/DirectoryState.cpp
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -252,6 +252,7 @@
     return;
   }
   mNextSweep = mNow + kSweepInterval;
+  mQueue.DropOld(mNow);
   if (mTable.RemoveExpired(mNow, mOwn.mInstance)) {
     mOutbox.NoteChange();
   }
@@ -286,7 +287,7 @@
     mSuspicions[hash] = mNow + kSuspicionTimeout;
   }
   if (aSpread == spread::kPush && outcome.mActions.mSpread) {
-    mQueue.Add(hash, OwnRoster().mLive.size(), true);
+    mQueue.Add(mNow, hash, OwnRoster().mLive.size(), true);
   }
   return true;
 }
@@ -304,7 +305,7 @@
   if (aSpread == spread::kPush && !accepted.empty()) {
     auto const zoneSize = OwnRoster().mLive.size();
     for (auto const hash : accepted) {
-      mQueue.Add(hash, zoneSize, true);
+      mQueue.Add(mNow, hash, zoneSize, true);
     }
   }
   return accepted.size();
@@ -327,7 +328,8 @@
 {
   mOwn.mIncarnation = aIncarnation;
   mTable.SetOwn(mNow, mOwn);
-  mQueue.Add(InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), aPush);
+  mQueue.Add(
+    mNow, InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), aPush);
   mOutbox.NoteChange();
 }
 
--- a/Libraries/LibMembership/DirectoryState.h
+++ b/Libraries/LibMembership/DirectoryState.h
@@ -27,8 +27,14 @@
 /// A daemon that has just joined learns what everybody knows; it does not pass
 /// that on.
 inline constexpr core::duration kSettleTime = std::chrono::seconds(3);
-/// Seeds contacted in one round.
-inline constexpr std::size_t kSeedsPerRound = 4;
+/// Seeds contacted in one round by a daemon that joins. After the loss of a
+/// zone, hundreds of daemons join at once, so that it is few.
+inline constexpr std::size_t kJoinSeeds = 2;
+/// Seeds outside the view that are contacted in one round, to find a world
+/// that was split off.
+inline constexpr std::size_t kRejoinSeeds = 4;
+/// Time after which a joining daemon asks for all members again.
+inline constexpr core::duration kJoinTimeout = std::chrono::seconds(2);
 
 class directory_state
 {
@@ -134,7 +140,8 @@
   std::optional<std::vector<core::zone_id>> mReported;
   std::vector<contact> mKnownRelays;
   bool mReportsChanged = false;
-  bool mAwaitsMembers = false;
+  /// Until when the members that were asked for may still arrive.
+  core::time_point mMembersExpected;
   int mDrainPushesLeft = 0;
   core::time_point mNextDrainPush;
   std::optional<core::time_point> mLastTick;
--- a/Libraries/LibMembership/DirectorySync.cpp
+++ b/Libraries/LibMembership/DirectorySync.cpp
@@ -81,7 +81,8 @@
     return;
   }
   auto const candidates = SeedsToContact();
-  for (auto const& seed : PickRandom(candidates, kSeedsPerRound, mRandom)) {
+  for (auto const& seed :
+       PickRandom(candidates, isJoining ? kJoinSeeds : kRejoinSeeds, mRandom)) {
     SendDigest(seed.mAddress, true, true);
   }
 }
@@ -223,12 +224,12 @@
 void
 directory_state::NoteJoined()
 {
-  mAwaitsMembers = false;
   if (mJoinedAt) {
     return;
   }
   mJoinedAt = mNow;
-  mQueue.Add(InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), true);
+  mQueue.Add(
+    mNow, InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), true);
 }
 
 }
--- a/Libraries/LibMembership/UpdateQueue.cpp
+++ b/Libraries/LibMembership/UpdateQueue.cpp
@@ -6,7 +6,8 @@
 namespace cranberryfold::membership::detail {
 
 void
-update_queue::Add(std::uint64_t aInstanceHash,
+update_queue::Add(core::time_point aNow,
+                  std::uint64_t aInstanceHash,
                   std::size_t aZoneSize,
                   bool aPush)
 {
@@ -17,6 +18,15 @@
   auto& entry = mItems[aInstanceHash];
   entry.mPushRounds = std::max(entry.mPushRounds, aPush ? kPushRounds : 0);
   entry.mPiggybacks = piggybacks;
+  entry.mQueued = aNow;
+}
+
+void
+update_queue::DropOld(core::time_point aNow)
+{
+  std::erase_if(mItems, [aNow](auto const& aEntry) {
+    return aNow - aEntry.second.mQueued >= kNewsLifetime;
+  });
 }
 
 std::vector<std::uint64_t>
--- a/Libraries/LibMembership/UpdateQueue.h
+++ b/Libraries/LibMembership/UpdateQueue.h
@@ -20,11 +20,21 @@
 /// the zone once instead of several times.
 inline constexpr std::size_t kLargeBatch = 32;
 
+/// Time after which digests have told everybody. Without it, the news of
+/// hundreds of members at once would ride on pings for many minutes.
+inline constexpr core::duration kNewsLifetime = std::chrono::seconds(10);
+
 class update_queue
 {
 public:
   /// Queues news for pushes and piggybacking in a zone of aZoneSize members.
-  void Add(std::uint64_t aInstanceHash, std::size_t aZoneSize, bool aPush);
+  void Add(core::time_point aNow,
+           std::uint64_t aInstanceHash,
+           std::size_t aZoneSize,
+           bool aPush);
+
+  /// Drops what has been queued for kNewsLifetime.
+  void DropOld(core::time_point aNow);
 
   /// Returns what is due for a push and counts the round.
   std::vector<std::uint64_t> TakePush(bool aAllRounds);
@@ -40,6 +50,7 @@
   {
     int mPushRounds = 0;
     int mPiggybacks = 0;
+    core::time_point mQueued;
   };
 
   void DropFinished();
--- a/Utilities/RandomRun/MembershipFaults.cpp
+++ b/Utilities/RandomRun/MembershipFaults.cpp
@@ -195,6 +195,10 @@
   if (!node || mLeaving.size() > 2) {
     return;
   }
+  constexpr double kRelayLossChance = 0.2;
+  if (!mCalm && mRandom.Chance(kRelayLossChance)) {
+    KillRelays(*node);
+  }
   pending_drain drain{ *node, mFleet.Now(), {} };
   for (std::size_t other = 0; other < mFleet.Nodes().size(); ++other) {
     auto const work = mWork[*node].find(other);
@@ -214,6 +218,23 @@
   Note("", "drain " + NameOf(*node));
 }
 
+void
+membership_run::KillRelays(std::size_t aSpared)
+{
+  auto const zone = mFleet.Nodes()[aSpared].mZone;
+  for (std::size_t node = 0; node < mFleet.Nodes().size(); ++node) {
+    auto const& daemon = mFleet.Nodes()[node];
+    bool const isRelay = daemon.mZone == zone && daemon.IsRunning() &&
+                         daemon.mDirectory->IsRelay();
+    if (isRelay && node != aSpared) {
+      mFleet.Kill(node);
+      mLeaving.erase(node);
+      Note("relay_loss", "kill relay " + NameOf(node));
+    }
+  }
+  EnsureLeader();
+}
+
 void
 membership_run::FinishDrains()
 {
--- a/Utilities/RandomRun/MembershipRun.cpp
+++ b/Utilities/RandomRun/MembershipRun.cpp
@@ -225,12 +225,18 @@
 void
 membership_run::CheckOwnZones() const
 {
-  auto const since = mFleet.Now() - std::chrono::seconds(10);
+  constexpr core::duration kRecovery = std::chrono::seconds(10);
   auto const& nodes = mFleet.Nodes();
-  for (auto const& observer : nodes) {
+  for (std::size_t index = 0; index < nodes.size(); ++index) {
+    auto const& observer = nodes[index];
+    auto since = mFleet.Now() - kRecovery;
     if (!observer.IsRunning() || observer.mDisturbed > since) {
       continue;
     }
+    // An isolated daemon cannot see that another one came back meanwhile.
+    if (mIsolated.contains(index)) {
+      since = observer.mDisturbed - kRecovery;
+    }
     std::set<core::instance_id> dead;
     for (auto const& entry : observer.mDirectory->Members()) {
       if (entry.mState == membership::member_state::kDead) {
--- a/Utilities/RandomRun/MembershipRun.h
+++ b/Utilities/RandomRun/MembershipRun.h
@@ -50,6 +50,8 @@
   void HealSome();
   void ChangeDatagramFaults();
   void DrainOne();
+  /// Kills the relays of a daemon's zone, except for the daemon itself.
+  void KillRelays(std::size_t aSpared);
   void FinishDrains();
   void SendWork();
   void EnsureLeader();
