--- a/Libraries/LibMembership/DirectoryState.cpp
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -90,6 +90,12 @@
   mDetector.Forget();
   mWatch.Restart(mNow);
   mLastHeard = mNow;
+  RestartSuspicions();
+}
+
+void
+directory_state::RestartSuspicions()
+{
   for (auto& [hash, deadline] : mSuspicions) {
     deadline = mNow + kSuspicionTimeout;
   }
@@ -120,14 +126,15 @@
 void
 directory_state::ExpireSuspicions()
 {
+  // A suspect gets its whole time once messages arrive again; it could not
+  // refute before.
+  if (DistrustsItself()) {
+    RestartSuspicions();
+    return;
+  }
   std::vector<std::uint64_t> expired;
-  for (auto& [hash, deadline] : mSuspicions) {
-    if (mNow < deadline) {
-      continue;
-    }
-    if (DistrustsItself()) {
-      deadline = mNow + kSuspicionTimeout;
-    } else {
+  for (auto const& [hash, deadline] : mSuspicions) {
+    if (mNow >= deadline) {
       expired.push_back(hash);
     }
   }
@@ -245,6 +252,7 @@
     return;
   }
   mNextSweep = mNow + kSweepInterval;
+  mQueue.DropOld(mNow);
   if (mTable.RemoveExpired(mNow, mOwn.mInstance)) {
     mOutbox.NoteChange();
   }
@@ -279,7 +287,7 @@
     mSuspicions[hash] = mNow + kSuspicionTimeout;
   }
   if (aSpread == spread::kPush && outcome.mActions.mSpread) {
-    mQueue.Add(hash, OwnRoster().mLive.size(), true);
+    mQueue.Add(mNow, hash, OwnRoster().mLive.size(), true);
   }
   return true;
 }
@@ -297,7 +305,7 @@
   if (aSpread == spread::kPush && !accepted.empty()) {
     auto const zoneSize = OwnRoster().mLive.size();
     for (auto const hash : accepted) {
-      mQueue.Add(hash, zoneSize, true);
+      mQueue.Add(mNow, hash, zoneSize, true);
     }
   }
   return accepted.size();
@@ -320,7 +328,8 @@
 {
   mOwn.mIncarnation = aIncarnation;
   mTable.SetOwn(mNow, mOwn);
-  mQueue.Add(InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), aPush);
+  mQueue.Add(
+    mNow, InstanceHash(mOwn.mInstance), OwnRoster().mLive.size(), aPush);
   mOutbox.NoteChange();
 }
 
