LibTraffic: Bound the classes that an upstream with room lets in

A free place was given to any class, so that higher callers were refused moments after lower ones had been admitted. The threshold of an upstream with room is now lowered by half a band only, on stamps and on arrival alike. The order check of the overload run counts only refusals that follow admissions of a lower class, in two windows of 250 ms in a row, since the threshold moves with the delay of its feedback; recovery counts requests by the time they began.

--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -19,8 +19,9 @@
 constexpr int kTargetWaitPart = 2;
 /// With this objective the queue is this much shorter.
 constexpr std::uint32_t kRecoveryQueuePart = 2;
-/// Positions by which the stamp of an upstream with room lowers the threshold,
-/// so that senders fill the room before the feedback has moved.
+/// Positions by which an upstream with room lowers its threshold, so that a
+/// free place is not left empty until the feedback has moved. More than half a
+/// band would let lower classes take the places of higher ones.
 constexpr std::uint32_t kRelaxedPositions = 32;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -60,13 +61,9 @@
 load_stamp
 admission_controller::Stamp(core::time_point aNow) const
 {
-  auto threshold = mMechanisms.mThreshold ? mFeedback.Threshold() : 0;
-  if (mMechanisms.mFastReadmission && HasRoom(aNow)) {
-    threshold -= std::min(threshold, kRelaxedPositions);
-  }
   return { static_cast<std::uint32_t>(mRunning.size() + mQueue.Size()),
            mLimit.Limit(aNow),
-           threshold,
+           Threshold(aNow),
            mDraining };
 }
 
@@ -80,7 +77,7 @@
   }
   auto const position = ShedPosition(aEvent.mContext, mMechanisms.mOrder);
   mFeedback.CountArrival(position);
-  if (IsBelowThreshold(aNow, position)) {
+  if (position < Threshold(aNow)) {
     Refuse(aEvent.mCall, refusal_reason::kCutOff);
     return;
   }
@@ -164,15 +161,17 @@
   return mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow);
 }
 
-bool
-admission_controller::IsBelowThreshold(core::time_point aNow,
-                                       std::uint32_t aPosition) const
+std::uint32_t
+admission_controller::Threshold(core::time_point aNow) const
 {
-  if (!mMechanisms.mThreshold || aPosition >= mFeedback.Threshold()) {
-    return false;
+  if (!mMechanisms.mThreshold) {
+    return 0;
+  }
+  auto const threshold = mFeedback.Threshold();
+  if (mMechanisms.mFastReadmission && HasRoom(aNow)) {
+    return threshold - std::min(threshold, kRelaxedPositions);
   }
-  // A free place is not left empty for a threshold that has yet to come down.
-  return !(mMechanisms.mFastReadmission && HasRoom(aNow));
+  return threshold;
 }
 
 bool
--- a/Libraries/LibTraffic/AdmissionController.h
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -131,7 +131,7 @@
   void On(core::time_point aNow, admission_drain_started const& aEvent);
 
   bool HasRoom(core::time_point aNow) const;
-  bool IsBelowThreshold(core::time_point aNow, std::uint32_t aPosition) const;
+  std::uint32_t Threshold(core::time_point aNow) const;
   bool CanMeetDeadline(core::time_point aNow, queued_call const& aCall) const;
   std::size_t QueueLimit() const;
   core::duration LongestWait() const;
--- a/Utilities/RandomRun/OverloadOrderCheck.cpp
+++ b/Utilities/RandomRun/OverloadOrderCheck.cpp
@@ -1,20 +1,20 @@
 #include "OverloadOrderCheck.h"
 
+#include <algorithm>
+
 namespace cranberryfold::random_run {
 
 namespace {
 
-constexpr core::duration kWindow{ 1'000'000 };
-/// Fewer refusals are the edge of a window, not a preference.
+/// A few windows of the admission feedback.
+constexpr core::duration kWindow{ 250'000 };
+constexpr std::uint32_t kBulkAdmissions = 5;
 constexpr std::uint32_t kLeastRefusals = 5;
-constexpr double kRefusedShare = 0.1;
-constexpr double kBulkShare = 0.5;
-constexpr std::uint32_t kLeastAdmitted = 5;
 
-double
-Share(std::uint32_t aPart, std::uint32_t aRest)
+std::size_t
+Level(tables::work_class aClass)
 {
-  return static_cast<double>(aPart) / static_cast<double>(aPart + aRest);
+  return static_cast<std::size_t>(tables::ShedOrder(aClass));
 }
 
 }
@@ -23,7 +23,7 @@
 order_check::CountAdmitted(core::time_point aNow, tables::work_class aClass)
 {
   Advance(aNow);
-  ++mLevels.at(static_cast<std::size_t>(tables::ShedOrder(aClass))).mAdmitted;
+  ++mLevels.at(Level(aClass)).mAdmitted;
 }
 
 void
@@ -31,7 +31,14 @@
                                   tables::work_class aClass)
 {
   Advance(aNow);
-  ++mLevels.at(static_cast<std::size_t>(tables::ShedOrder(aClass))).mRefused;
+  auto const level = Level(aClass);
+  std::uint32_t lower = 0;
+  for (std::size_t index = 0; index < level; ++index) {
+    lower += mLevels.at(index).mAdmitted;
+  }
+  if (lower >= kBulkAdmissions) {
+    ++mLevels.at(level).mRefusedAfter;
+  }
 }
 
 void
@@ -40,31 +47,17 @@
   if (aNow < mStart + kWindow) {
     return;
   }
-  if (IsViolated()) {
+  bool const wrong =
+    aNow < mStart + 2 * kWindow &&
+    std::any_of(mLevels.begin(), mLevels.end(), [](auto const& aLevel) {
+      return aLevel.mRefusedAfter >= kLeastRefusals;
+    });
+  if (wrong && mWrongBefore) {
     ++mViolations;
   }
+  mWrongBefore = wrong;
   mLevels = {};
   mStart = aNow;
 }
 
-bool
-order_check::IsViolated() const
-{
-  for (std::size_t higher = 1; higher < mLevels.size(); ++higher) {
-    auto const& refused = mLevels.at(higher);
-    if (refused.mRefused < kLeastRefusals ||
-        Share(refused.mRefused, refused.mAdmitted) < kRefusedShare) {
-      continue;
-    }
-    for (std::size_t lower = 0; lower < higher; ++lower) {
-      auto const& admitted = mLevels.at(lower);
-      if (admitted.mAdmitted >= kLeastAdmitted &&
-          Share(admitted.mAdmitted, admitted.mRefused) >= kBulkShare) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 }
--- a/Utilities/RandomRun/OverloadOrderCheck.h
+++ b/Utilities/RandomRun/OverloadOrderCheck.h
@@ -8,8 +8,10 @@
 
 namespace cranberryfold::random_run {
 
-/// Invariant of one upstream: in no window is a class refused for overload
-/// while a lower one is admitted in bulk.
+/// Invariant of one upstream: a class is not refused for overload again and
+/// again after lower ones were admitted in bulk. Only refusals that follow the
+/// admissions count, and only in two windows in a row: the threshold follows
+/// the load with the delay of its feedback.
 class order_check
 {
 public:
@@ -22,13 +24,14 @@
   struct counts
   {
     std::uint32_t mAdmitted = 0;
-    std::uint32_t mRefused = 0;
+    /// Refusals after admissions of a lower class in bulk.
+    std::uint32_t mRefusedAfter = 0;
   };
 
   void Advance(core::time_point aNow);
-  bool IsViolated() const;
 
   core::time_point mStart;
+  bool mWrongBefore = false;
   std::array<counts, tables::kShedLevels> mLevels{};
   std::uint64_t mViolations = 0;
 };
--- a/Utilities/RandomRun/OverloadReport.cpp
+++ b/Utilities/RandomRun/OverloadReport.cpp
@@ -10,6 +10,8 @@
 
 constexpr core::duration kSlice{ 100'000 };
 constexpr std::size_t kSlicesPerSecond = 10;
+/// A request that succeeds later, after several tries, is not yet normal.
+constexpr core::duration kPromptly{ 2'000'000 };
 constexpr double kRecoveredShare = 0.95;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr double kMicrosecondsPerMillisecond = 1e3;
@@ -77,7 +79,9 @@
                               tables::work_class aClass)
 {
   ++At(aBegun).mClasses.at(static_cast<std::size_t>(aClass)).mSucceeded;
-  CountSlice(mSucceededSlices, aNow);
+  if (aNow - aBegun <= kPromptly) {
+    CountSlice(mSucceededSlices, aBegun);
+  }
 }
 
 double
--- a/Utilities/RandomRun/OverloadReport.h
+++ b/Utilities/RandomRun/OverloadReport.h
@@ -76,8 +76,8 @@
                     core::time_point aBegun,
                     tables::work_class aClass);
 
-  /// Returns the seconds after the surge until at least 95% as many requests
-  /// succeed as begin in each second; the rest of the run when they never do.
+  /// Returns the seconds after the surge until 95% of the requests that begin
+  /// in each second succeed promptly; the rest of the run when they never do.
   double RecoverySeconds() const;
 
   /// Returns useful deep work during the surge over aCapacity, in cores.
@@ -99,7 +99,7 @@
 
   phase_times mTimes;
   std::array<phase_counts, kRunPhases> mPhases;
-  /// By tenth of a second since the start of the run.
+  /// By the tenth of a second in which the request began.
   std::vector<std::uint32_t> mBegunSlices;
   std::vector<std::uint32_t> mSucceededSlices;
 };
