LibTraffic: Take out dropping the newest under a standing queue

The admission threshold already keeps the queue short, and refusing early left places empty. A full queue still drops the newest call of the lowest class.

--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-/// A queue is standing when no call has left it after a short wait for this
-/// long.
-constexpr core::duration kStandingAfter{ 100'000 };
-/// Part of the longest wait that counts as short.
-constexpr int kShortWaitPart = 4;
 /// Part of the longest wait that the admission threshold aims at.
 constexpr int kTargetWaitPart = 2;
 /// With this objective the queue is this much shorter.
@@ -41,7 +36,6 @@
   : mMechanisms(aMechanisms)
   , mLimit(aMechanisms.mAdaptiveLimit)
   , mFeedback(aNow)
-  , mShortWaitSeen(aNow)
 {
 }
 
@@ -93,7 +87,7 @@
     Admit(aNow, aEvent.mCall);
     return;
   }
-  Enqueue(aNow, call);
+  Enqueue(call);
 }
 
 void
@@ -209,14 +203,9 @@
 }
 
 void
-admission_controller::Enqueue(core::time_point aNow, queued_call const& aCall)
+admission_controller::Enqueue(queued_call const& aCall)
 {
-  if (mQueue.IsEmpty()) {
-    mShortWaitSeen = aNow;
-    mStandingQueue = false;
-  }
-  bool const standing = mMechanisms.mDropNewest && mStandingQueue;
-  if (standing || mQueue.Size() >= QueueLimit()) {
+  if (mQueue.Size() >= QueueLimit()) {
     mFeedback.CountOverload();
     auto const dropped = mQueue.PopNewestBelow(aCall.mBand);
     Refuse(dropped ? dropped->mCall : aCall.mCall, refusal_reason::kQueueFull);
@@ -232,7 +221,7 @@
 {
   while (!mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow)) {
     auto const call = mQueue.PopFirst();
-    NoteWait(aNow, *call);
+    mFeedback.CountWait(aNow - call->mArrived);
     if (mMechanisms.mQueueDeadline &&
         aNow + mLimit.Baseline() >= call->mDeadline) {
       Refuse(call->mCall, refusal_reason::kDeadlineExceeded);
@@ -254,16 +243,6 @@
   }
 }
 
-void
-admission_controller::NoteWait(core::time_point aNow, queued_call const& aCall)
-{
-  mFeedback.CountWait(aNow - aCall.mArrived);
-  if (aNow - aCall.mArrived < LongestWait() / kShortWaitPart) {
-    mShortWaitSeen = aNow;
-  }
-  mStandingQueue = aNow >= mShortWaitSeen + kStandingAfter;
-}
-
 void
 admission_controller::Admit(core::time_point aNow, call_id aCall)
 {
--- a/Libraries/LibTraffic/AdmissionController.h
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -90,7 +90,6 @@
   bool mAdaptiveLimit = true;
   bool mThreshold = true;
   bool mQueueDeadline = true;
-  bool mDropNewest = true;
   bool mFastReadmission = true;
   shed_rules mOrder;
 
@@ -135,10 +134,9 @@
   bool CanMeetDeadline(core::time_point aNow, queued_call const& aCall) const;
   std::size_t QueueLimit() const;
   core::duration LongestWait() const;
-  void Enqueue(core::time_point aNow, queued_call const& aCall);
+  void Enqueue(queued_call const& aCall);
   void Dispatch(core::time_point aNow);
   void Expire(core::time_point aNow);
-  void NoteWait(core::time_point aNow, queued_call const& aCall);
   void Admit(core::time_point aNow, call_id aCall);
   void Refuse(call_id aCall, core::refusal_reason aReason);
 
@@ -149,9 +147,6 @@
   admission_queue mQueue;
   std::unordered_map<call_id, running_call> mRunning;
   bool mDraining = false;
-  /// Since when no call has left the queue after a short wait.
-  core::time_point mShortWaitSeen;
-  bool mStandingQueue = false;
   actions mActions;
 };
 
--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -31,7 +31,6 @@
   policy.mController.mAdaptiveLimit = false;
   policy.mController.mThreshold = false;
   policy.mController.mQueueDeadline = false;
-  policy.mController.mDropNewest = false;
   policy.mController.mOrder = { false, false, false };
   policy.mSelection.mSenderThreshold = false;
   return policy;
@@ -57,8 +56,6 @@
       [](policy& aPolicy) { aPolicy.mController.mThreshold = false; } },
     { "queue_deadline",
       [](policy& aPolicy) { aPolicy.mController.mQueueDeadline = false; } },
-    { "drop_newest",
-      [](policy& aPolicy) { aPolicy.mController.mDropNewest = false; } },
     { "fast_readmission",
       [](policy& aPolicy) { aPolicy.mController.mFastReadmission = false; } },
     { "class_shedding",
