--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -15,7 +15,8 @@
 constexpr core::duration kLongestAvoidance{ 10'000'000 };
 constexpr core::duration kRefusalAvoidance{ 50'000 };
 constexpr std::uint32_t kMostDoublings = 6;
-/// Older stamps say nothing about the present.
+/// Older stamps say nothing about the present; their expiry also lets senders
+/// notice a recovery after they have held back everything.
 constexpr core::duration kStampLifetime{ 2'000'000 };
 /// Stands in for the latency of an upstream without calls, so that an untried
 /// upstream is tried.
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -13,8 +13,6 @@
 constexpr int kSameZone = 0;
 constexpr int kSameRegion = 1;
 constexpr int kBeyond = 2;
-/// Share of the calls that are sent although the last stamp refuses them.
-constexpr double kProbingShare = 0.02;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
 
 }
@@ -77,10 +75,6 @@
       refusing.end(), found.mRefusing.begin(), found.mRefusing.end());
     avoided.insert(avoided.end(), found.mAvoided.begin(), found.mAvoided.end());
   }
-  if (!refusing.empty() && mMechanisms.mProbing &&
-      mRandom.Chance(kProbingShare)) {
-    return Choose(refusing);
-  }
   if (refusing.empty() && !avoided.empty()) {
     return Choose(avoided);
   }
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -65,7 +65,6 @@
 struct selection_mechanisms
 {
   bool mSenderThreshold = true;
-  bool mProbing = true;
   bool mTwoChoices = true;
   bool mAvoidance = true;
   shed_rules mOrder;
--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -72,7 +72,6 @@
       } },
     { "sender_threshold",
       [](policy& aPolicy) { aPolicy.mSelection.mSenderThreshold = false; } },
-    { "probing", [](policy& aPolicy) { aPolicy.mSelection.mProbing = false; } },
     { "two_choices",
       [](policy& aPolicy) { aPolicy.mSelection.mTwoChoices = false; } },
     { "avoidance",
