--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -10,17 +10,13 @@
 
 namespace {
 
-/// A queue is standing when no call has left it after a short wait for this
-/// long.
-constexpr core::duration kStandingAfter{ 100'000 };
-/// Part of the longest wait that counts as short.
-constexpr int kShortWaitPart = 4;
 /// Part of the longest wait that the admission threshold aims at.
 constexpr int kTargetWaitPart = 2;
 /// With this objective the queue is this much shorter.
 constexpr std::uint32_t kRecoveryQueuePart = 2;
-/// Positions by which the stamp of an upstream with room lowers the threshold,
-/// so that senders fill the room before the feedback has moved.
+/// Positions by which an upstream with room lowers its threshold, so that a
+/// free place is not left empty until the feedback has moved. More than half a
+/// band would let lower classes take the places of higher ones.
 constexpr std::uint32_t kRelaxedPositions = 32;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -40,7 +36,6 @@
   : mMechanisms(aMechanisms)
   , mLimit(aMechanisms.mAdaptiveLimit)
   , mFeedback(aNow)
-  , mShortWaitSeen(aNow)
 {
 }
 
@@ -60,13 +55,9 @@
 load_stamp
 admission_controller::Stamp(core::time_point aNow) const
 {
-  auto threshold = mMechanisms.mThreshold ? mFeedback.Threshold() : 0;
-  if (mMechanisms.mFastReadmission && HasRoom(aNow)) {
-    threshold -= std::min(threshold, kRelaxedPositions);
-  }
   return { static_cast<std::uint32_t>(mRunning.size() + mQueue.Size()),
            mLimit.Limit(aNow),
-           threshold,
+           Threshold(aNow),
            mDraining };
 }
 
@@ -80,7 +71,7 @@
   }
   auto const position = ShedPosition(aEvent.mContext, mMechanisms.mOrder);
   mFeedback.CountArrival(position);
-  if (IsBelowThreshold(aNow, position)) {
+  if (position < Threshold(aNow)) {
     Refuse(aEvent.mCall, refusal_reason::kCutOff);
     return;
   }
@@ -96,7 +87,7 @@
     Admit(aNow, aEvent.mCall);
     return;
   }
-  Enqueue(aNow, call);
+  Enqueue(call);
 }
 
 void
@@ -164,15 +155,17 @@
   return mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow);
 }
 
-bool
-admission_controller::IsBelowThreshold(core::time_point aNow,
-                                       std::uint32_t aPosition) const
+std::uint32_t
+admission_controller::Threshold(core::time_point aNow) const
 {
-  if (!mMechanisms.mThreshold || aPosition >= mFeedback.Threshold()) {
-    return false;
+  if (!mMechanisms.mThreshold) {
+    return 0;
   }
-  // A free place is not left empty for a threshold that has yet to come down.
-  return !(mMechanisms.mFastReadmission && HasRoom(aNow));
+  auto const threshold = mFeedback.Threshold();
+  if (mMechanisms.mFastReadmission && HasRoom(aNow)) {
+    return threshold - std::min(threshold, kRelaxedPositions);
+  }
+  return threshold;
 }
 
 bool
@@ -210,14 +203,9 @@
 }
 
 void
-admission_controller::Enqueue(core::time_point aNow, queued_call const& aCall)
+admission_controller::Enqueue(queued_call const& aCall)
 {
-  if (mQueue.IsEmpty()) {
-    mShortWaitSeen = aNow;
-    mStandingQueue = false;
-  }
-  bool const standing = mMechanisms.mDropNewest && mStandingQueue;
-  if (standing || mQueue.Size() >= QueueLimit()) {
+  if (mQueue.Size() >= QueueLimit()) {
     mFeedback.CountOverload();
     auto const dropped = mQueue.PopNewestBelow(aCall.mBand);
     Refuse(dropped ? dropped->mCall : aCall.mCall, refusal_reason::kQueueFull);
@@ -233,7 +221,7 @@
 {
   while (!mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow)) {
     auto const call = mQueue.PopFirst();
-    NoteWait(aNow, *call);
+    mFeedback.CountWait(aNow - call->mArrived);
     if (mMechanisms.mQueueDeadline &&
         aNow + mLimit.Baseline() >= call->mDeadline) {
       Refuse(call->mCall, refusal_reason::kDeadlineExceeded);
@@ -255,16 +243,6 @@
   }
 }
 
-void
-admission_controller::NoteWait(core::time_point aNow, queued_call const& aCall)
-{
-  mFeedback.CountWait(aNow - aCall.mArrived);
-  if (aNow - aCall.mArrived < LongestWait() / kShortWaitPart) {
-    mShortWaitSeen = aNow;
-  }
-  mStandingQueue = aNow >= mShortWaitSeen + kStandingAfter;
-}
-
 void
 admission_controller::Admit(core::time_point aNow, call_id aCall)
 {
