--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -47,6 +47,22 @@
            aCode.message() };
 }
 
+// GCC 12 may destroy an aggregate temporary of a co_return twice, so the
+// attempts are made by functions.
+template<class T>
+core::attempt<T>
+Failed(core::error aError)
+{
+  return { std::nullopt, std::move(aError) };
+}
+
+template<class T>
+core::attempt<T>
+Succeeded(T aValue)
+{
+  return { std::move(aValue), {} };
+}
+
 response_head
 ToHead(response_parser const& aParser)
 {
@@ -122,13 +138,13 @@
     if (problem.mCode != core::error_code::kTimeout) {
       problem.mCode = core::error_code::kUnreachable;
     }
-    co_return core::attempt<core::nothing>{ std::nullopt, std::move(problem) };
+    co_return Failed<core::nothing>(std::move(problem));
   }
   // Otherwise a small request waits for the acknowledgement of the previous
   // one.
   mState->mStream.socket().set_option(asio::ip::tcp::no_delay(true), code);
   mState->mIsReusable = true;
-  co_return core::attempt<core::nothing>{ core::nothing{}, {} };
+  co_return Succeeded(core::nothing{});
 }
 
 asio::awaitable<core::attempt<response_head>>
@@ -152,15 +168,13 @@
     Close();
     auto const step = parser.is_header_done() ? "read_body" : "read_response";
     auto const code = writeCode ? writeCode : readCode;
-    co_return core::attempt<response_head>{
-      std::nullopt, ToError(code, step, mState->mPeer)
-    };
+    co_return Failed<response_head>(ToError(code, step, mState->mPeer));
   }
   mState->mIsReusable = !writeCode && parser.get().keep_alive();
   if (!mState->mIsReusable) {
     Close();
   }
-  co_return core::attempt<response_head>{ ToHead(parser), {} };
+  co_return Succeeded(ToHead(parser));
 }
 
 bool
@@ -194,7 +208,7 @@
   client_connection connection(co_await asio::this_coro::executor, aPeer);
   auto const connected = co_await connection.Connect(aTimeout);
   if (!connected) {
-    co_return core::attempt<response>{ std::nullopt, connected.mError };
+    co_return Failed<response>(connected.mError);
   }
   response received;
   bool isTooLarge = false;
@@ -208,17 +222,17 @@
   auto const head =
     co_await connection.Exchange(aRequest.mHead, body, sink, aTimeout);
   if (!head) {
-    co_return core::attempt<response>{ std::nullopt, head.mError };
+    co_return Failed<response>(head.mError);
   }
   if (isTooLarge) {
-    co_return core::attempt<response>{ std::nullopt,
-                                       { core::error_code::kLimitExceeded,
-                                         "read_body",
-                                         core::FormatAddress(aPeer),
-                                         "response body is too large" } };
+    core::error problem{ core::error_code::kLimitExceeded,
+                         "read_body",
+                         core::FormatAddress(aPeer),
+                         "response body is too large" };
+    co_return Failed<response>(std::move(problem));
   }
   received.mHead = *head;
-  co_return core::attempt<response>{ std::move(received), {} };
+  co_return Succeeded(std::move(received));
 }
 
 }
--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -46,7 +46,9 @@
   connection = std::make_unique<client_connection>(mExecutor, aPeer);
   auto const connected = co_await connection->Connect(aTimeout);
   if (!connected) {
-    co_return core::attempt<response_head>{ std::nullopt, connected.mError };
+    core::attempt<response_head> failed;
+    failed.mError = connected.mError;
+    co_return failed;
   }
   auto head = co_await connection->Exchange(aHead, aBody, aSink, aTimeout);
   if (connection->IsReusable()) {
--- a/Utilities/Client/AdminClient.cpp
+++ b/Utilities/Client/AdminClient.cpp
@@ -76,33 +76,36 @@
 }
 
 asio::awaitable<core::attempt<admin_answer>>
-admin_client::AskOne(core::address aPeer, http::request aRequest) const
+admin_client::AskOne(core::address const& aPeer,
+                     http::request const& aRequest) const
 {
   if (mProgress) {
     mProgress(aPeer);
   }
+  core::attempt<admin_answer> result;
   auto const received =
     co_await http::SendRequest(aPeer, aRequest, mLimits.mRequest);
   if (!received) {
-    co_return core::attempt<admin_answer>{ std::nullopt, received.mError };
+    result.mError = received.mError;
+    co_return result;
   }
   boost::json::error_code code;
   auto body = boost::json::parse(received->mBody, code);
   if (code || !body.is_object()) {
-    core::error problem{ core::error_code::kMalformed,
-                         "read_answer",
-                         core::FormatAddress(aPeer),
-                         "expected a JSON object with status " +
-                           std::to_string(received->mHead.mStatus) };
-    co_return core::attempt<admin_answer>{ std::nullopt, std::move(problem) };
+    result.mError = { core::error_code::kMalformed,
+                      "read_answer",
+                      core::FormatAddress(aPeer),
+                      "expected a JSON object with status " +
+                        std::to_string(received->mHead.mStatus) };
+    co_return result;
   }
-  co_return core::attempt<admin_answer>{
-    admin_answer{ aPeer, received->mHead.mStatus, std::move(body) }, {}
-  };
+  result.mValue =
+    admin_answer{ aPeer, received->mHead.mStatus, std::move(body) };
+  co_return result;
 }
 
 asio::awaitable<core::attempt<admin_answer>>
-admin_client::Ask(http::request aRequest) const
+admin_client::Ask(http::request const& aRequest) const
 {
   core::attempt<admin_answer> last{
     std::nullopt, { core::error_code::kUnreachable, "ask", "", "no address" }
--- a/Utilities/Client/AdminClient.h
+++ b/Utilities/Client/AdminClient.h
@@ -48,15 +48,15 @@
   /// Asks one daemon. Fails with kUnreachable, kTimeout, kClosed or kMalformed
   /// (the body is not JSON).
   boost::asio::awaitable<core::attempt<admin_answer>> AskOne(
-    core::address aPeer,
-    http::request aRequest) const;
+    core::address const& aPeer,
+    http::request const& aRequest) const;
 
   /// Follows not_leader hints and goes on to the next address when one can't be
   /// reached or has no majority. Every request must be safe to send twice. The
   /// last error or answer is returned when the limits are used up; without a
   /// leader it is the not_leader answer.
   boost::asio::awaitable<core::attempt<admin_answer>> Ask(
-    http::request aRequest) const;
+    http::request const& aRequest) const;
 
 private:
   std::vector<core::address> mAddresses;
--- a/Utilities/Client/ClusterCommands.cpp
+++ b/Utilities/Client/ClusterCommands.cpp
@@ -42,7 +42,7 @@
     aMember.mError = core::FormatError(address.mError);
     co_return;
   }
-  http::request const request{ { "GET", "/v1/status", {} }, "" };
+  auto const request = GetRequest("/v1/status");
   auto answer = co_await aSession.mClient.AskOne(*address, request);
   if (!answer) {
     aMember.mError = core::FormatError(answer.mError);
@@ -145,8 +145,8 @@
 command_result
 ShowStatus(session& aSession)
 {
-  auto const asked =
-    co_await AskOrReport(aSession, { { "GET", "/v1/members", {} }, "" });
+  auto const request = GetRequest("/v1/members");
+  auto const asked = co_await AskOrReport(aSession, request);
   if (!asked.mAnswer) {
     co_return asked.mCode;
   }
@@ -170,8 +170,8 @@
     "instance", "zone",  "region",       "service",       "state",
     "view",     "slots", "peer_address", "admin_address", "control"
   };
-  auto const asked =
-    co_await AskOrReport(aSession, { { "GET", "/v1/members", {} }, "" });
+  auto const request = GetRequest("/v1/members");
+  auto const asked = co_await AskOrReport(aSession, request);
   if (!asked.mAnswer) {
     co_return asked.mCode;
   }
@@ -192,8 +192,8 @@
 ExplainRoute(session& aSession)
 {
   std::string const target = "/v1/explain?route=" + aSession.mOptions.mRoute;
-  auto const asked =
-    co_await AskOrReport(aSession, { { "GET", target, {} }, "" });
+  auto const request = GetRequest(target);
+  auto const asked = co_await AskOrReport(aSession, request);
   if (!asked.mAnswer) {
     co_return asked.mCode;
   }
--- a/Utilities/Client/Session.cpp
+++ b/Utilities/Client/Session.cpp
@@ -81,16 +81,24 @@
 }
 
 boost::asio::awaitable<asked>
-AskOrReport(session& aSession, http::request aRequest)
+AskOrReport(session& aSession, http::request const& aRequest)
 {
-  auto answer = co_await aSession.mClient.Ask(std::move(aRequest));
+  asked result;
+  auto answer = co_await aSession.mClient.Ask(aRequest);
   if (!answer) {
-    co_return asked{ std::nullopt, ReportError(aSession, answer.mError) };
+    result.mCode = ReportError(aSession, answer.mError);
+  } else if (answer->mStatus != 200) {
+    result.mCode = ReportRefusal(aSession, *answer);
+  } else {
+    result.mAnswer = std::move(*answer);
   }
-  if (answer->mStatus != 200) {
-    co_return asked{ std::nullopt, ReportRefusal(aSession, *answer) };
-  }
-  co_return asked{ std::move(*answer), exit_code::kSuccess };
+  co_return result;
+}
+
+http::request
+GetRequest(std::string aTarget)
+{
+  return { { "GET", std::move(aTarget), {} }, "" };
 }
 
 void
--- a/Utilities/Client/Session.h
+++ b/Utilities/Client/Session.h
@@ -35,7 +35,12 @@
   exit_code mCode = exit_code::kSuccess;
 };
 boost::asio::awaitable<asked>
-AskOrReport(session& aSession, http::request aRequest);
+AskOrReport(session& aSession, http::request const& aRequest);
+
+/// Named requests, because GCC 12 destroys an aggregate temporary twice when it
+/// is an operand of co_await.
+http::request
+GetRequest(std::string aTarget);
 
 /// Prints rows with aligned columns; the first row is the heading.
 void
--- a/Utilities/Client/TablesCommands.cpp
+++ b/Utilities/Client/TablesCommands.cpp
@@ -45,7 +45,8 @@
   // Printed before sending: after a lost response the same id can be sent
   // again.
   aSession.mNotes << "edit id " << id << std::endl;
-  auto const asked = co_await AskOrReport(aSession, PostEdit(aEdit));
+  auto const request = PostEdit(aEdit);
+  auto const asked = co_await AskOrReport(aSession, request);
   if (!asked.mAnswer) {
     co_return asked.mCode;
   }
@@ -66,8 +67,8 @@
 {
   auto const* const target =
     aSession.mOptions.mCurrent ? "/v1/tables?current=true" : "/v1/tables";
-  auto const asked =
-    co_await AskOrReport(aSession, { { "GET", target, {} }, "" });
+  auto const request = GetRequest(target);
+  auto const asked = co_await AskOrReport(aSession, request);
   if (!asked.mAnswer) {
     co_return asked.mCode;
   }
@@ -121,8 +122,8 @@
   if (aSession.mOptions.mBaseRevision) {
     edit["base_revision"] = *aSession.mOptions.mBaseRevision;
   } else {
-    auto const asked = co_await AskOrReport(
-      aSession, { { "GET", "/v1/tables?current=true", {} }, "" });
+    auto const request = GetRequest("/v1/tables?current=true");
+    auto const asked = co_await AskOrReport(aSession, request);
     if (!asked.mAnswer) {
       co_return asked.mCode;
     }
@@ -144,8 +145,8 @@
 command_result
 TablesHistory(session& aSession)
 {
-  auto const asked =
-    co_await AskOrReport(aSession, { { "GET", "/v1/history", {} }, "" });
+  auto const request = GetRequest("/v1/history");
+  auto const asked = co_await AskOrReport(aSession, request);
   if (!asked.mAnswer) {
     co_return asked.mCode;
   }
