--- /dev/null
+++ b/Tests/Daemon/Mesh.cpp
@@ -0,0 +1,181 @@
+#include "Daemon/Mesh.h"
+
+#include <filesystem>
+
+namespace cranberryfold::test_support {
+
+namespace {
+
+constexpr std::size_t kPortsPerMember = 5;
+
+constexpr std::string_view kTables = R"({
+  "pools": [
+    { "name": "order", "service": "order", "cold_start_ms": 0 },
+    { "name": "stock", "service": "stock", "cold_start_ms": 0 } ],
+  "routes": [
+    { "name": "stock", "methods": ["GET"], "path_prefix": "/stock",
+      "pool": "stock", "class": "catalogue", "idempotent": true,
+      "timeout_ms": 60000 },
+    { "name": "order", "methods": ["POST"], "path_prefix": "/orders",
+      "pool": "order", "class": "order", "idempotent": false,
+      "timeout_ms": 60000 },
+    { "name": "deposit", "methods": ["POST"], "path_prefix": "/deposits",
+      "pool": "stock", "class": "deposit", "idempotent": false,
+      "timeout_ms": 60000 },
+    { "name": "photo", "methods": ["PUT"], "path_prefix": "/photos",
+      "pool": "stock", "class": "upload", "idempotent": true,
+      "timeout_ms": 120000 } ] })";
+
+std::string
+Quoted(std::string const& aText)
+{
+  return "\"" + aText + "\"";
+}
+
+}
+
+mesh::mesh(std::vector<std::string> const& aStandInFlags)
+  : mPorts(FreePorts(2 * kPortsPerMember))
+{
+  mMembers["order"].mFirstPort = 0;
+  mMembers["stock"].mFirstPort = kPortsPerMember;
+  StartMember("order",
+              { "--egress=" + core::FormatAddress(Egress("order")),
+                "--calls=/orders=GET /stock/item" });
+  StartMember("stock", aStandInFlags);
+  ApplyTables();
+  WaitForStock();
+}
+
+core::address
+mesh::AddressOf(std::string const& aInstance, std::size_t aOffset) const
+{
+  return { "127.0.0.1",
+           mPorts.at(mMembers.at(aInstance).mFirstPort + aOffset) };
+}
+
+core::address
+mesh::Caller(std::string const& aInstance) const
+{
+  return AddressOf(aInstance, 0);
+}
+
+core::address
+mesh::Egress(std::string const& aInstance) const
+{
+  return AddressOf(aInstance, 1);
+}
+
+core::address
+mesh::Admin(std::string const& aInstance) const
+{
+  return AddressOf(aInstance, 2);
+}
+
+core::address
+mesh::Peer(std::string const& aInstance) const
+{
+  return AddressOf(aInstance, 3);
+}
+
+child_process&
+mesh::Daemon(std::string const& aInstance)
+{
+  return *mMembers.at(aInstance).mDaemon;
+}
+
+child_process&
+mesh::Upstream(std::string const& aInstance)
+{
+  return *mMembers.at(aInstance).mUpstream;
+}
+
+std::string
+mesh::Journal(std::string const& aInstance) const
+{
+  return ReadFile(mFolder.File(aInstance + ".journal"));
+}
+
+std::string
+mesh::SettingsOf(std::string const& aInstance) const
+{
+  auto const text = [](core::address const& aAddress) {
+    return Quoted(core::FormatAddress(aAddress));
+  };
+  bool const isReplica = aInstance == "order";
+  std::string settings = "{ \"instance\": " + Quoted(aInstance);
+  settings += ", \"zone\": " + Quoted(isReplica ? "z1" : "z2");
+  settings += ", \"region\": \"r1\", \"caller_address\": ";
+  settings += text(Caller(aInstance));
+  settings += ", \"egress_address\": " + text(Egress(aInstance));
+  settings += ", \"admin_address\": " + text(Admin(aInstance));
+  settings += ", \"peer_address\": " + text(Peer(aInstance));
+  settings += ", \"seeds\": [" + text(Peer("order")) + "]";
+  settings += ", \"upstream\": { \"address\": " + text(AddressOf(aInstance, 4));
+  settings += ", \"service\": " + Quoted(aInstance);
+  settings += ", \"slots\": 10, \"connections\": 64 }";
+  if (isReplica) {
+    settings += ", \"control\": { \"data_folder\": ";
+    settings += Quoted(mFolder.File("data"));
+    settings += ", \"initial_group\": [ { \"instance\": \"order\", ";
+    settings += "\"peer_address\": " + text(Peer("order")) + " } ] }";
+  }
+  return settings + ", \"drain_grace_ms\": 60000 }";
+}
+
+void
+mesh::StartMember(std::string const& aInstance,
+                  std::vector<std::string> aStandInFlags)
+{
+  auto& started = mMembers.at(aInstance);
+  aStandInFlags.insert(
+    aStandInFlags.begin(),
+    { "--listen=" + core::FormatAddress(AddressOf(aInstance, 4)),
+      "--instance=" + aInstance,
+      "--service=" + aInstance,
+      "--journal=" + mFolder.File(aInstance + ".journal") });
+  started.mUpstream.emplace("stand_in_upstream",
+                            aStandInFlags,
+                            mFolder.File(aInstance + ".upstream.log"));
+  auto const settings = mFolder.File(aInstance + ".json");
+  WriteFile(settings, SettingsOf(aInstance));
+  std::filesystem::create_directory(mFolder.File("data"));
+  std::vector<std::string> flags{ "--settings", settings };
+  if (aInstance == "order") {
+    flags.emplace_back("--bootstrap_control");
+  }
+  started.mDaemon.emplace(
+    "cranberryfold_daemon", flags, mFolder.File(aInstance + ".log"));
+}
+
+void
+mesh::ApplyTables() const
+{
+  http::request const edit{
+    { "POST", "/v1/edits", {} },
+    R"({"edit_id":"tables","base_revision":0,"tables":)" +
+      std::string(kTables) + "}"
+  };
+  WaitUntil([&] {
+    auto const answer = Send(Admin("order"), edit);
+    return answer && answer->mHead.mStatus == 200;
+  });
+}
+
+bool
+mesh::WaitForStock() const
+{
+  return WaitUntil([&] {
+    auto const ready = Send(Admin("stock"), { { "GET", "/readyz", {} }, "" });
+    auto const members =
+      Send(Admin("order"), { { "GET", "/v1/members", {} }, "" });
+    auto const tables =
+      Send(Admin("stock"), { { "GET", "/v1/tables", {} }, "" });
+    return ready && ready->mHead.mStatus == 200 && members && tables &&
+           members->mBody.find("\"service\":\"stock\",\"state\":\"serving\"") !=
+             std::string::npos &&
+           tables->mBody.find("\"revision\":1") != std::string::npos;
+  });
+}
+
+}
--- /dev/null
+++ b/Tests/Daemon/Mesh.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Support/Process.h"
+
+#include <map>
+
+/// Two daemons with stand-in upstreams: "order" in zone z1, which is the only
+/// control replica, and "stock" in zone z2. Order calls stock for /orders.
+namespace cranberryfold::test_support {
+
+class mesh
+{
+public:
+  /// Starts all processes, applies the tables and waits until both daemons have
+  /// them. aStandInFlags are added to those of the stock upstream.
+  explicit mesh(std::vector<std::string> const& aStandInFlags = {});
+
+  core::address Caller(std::string const& aInstance) const;
+  core::address Egress(std::string const& aInstance) const;
+  core::address Admin(std::string const& aInstance) const;
+  core::address Peer(std::string const& aInstance) const;
+
+  child_process& Daemon(std::string const& aInstance);
+  child_process& Upstream(std::string const& aInstance);
+
+  /// Execution journal of an upstream.
+  std::string Journal(std::string const& aInstance) const;
+
+  /// Waits until order sees stock serving and stock has the tables.
+  bool WaitForStock() const;
+
+private:
+  struct member
+  {
+    std::size_t mFirstPort = 0;
+    std::optional<child_process> mUpstream;
+    std::optional<child_process> mDaemon;
+  };
+
+  core::address AddressOf(std::string const& aInstance,
+                          std::size_t aOffset) const;
+  void StartMember(std::string const& aInstance,
+                   std::vector<std::string> aStandInFlags);
+  std::string SettingsOf(std::string const& aInstance) const;
+  void ApplyTables() const;
+
+  temporary_folder mFolder;
+  std::vector<std::uint16_t> mPorts;
+  std::map<std::string, member> mMembers;
+};
+
+}
--- /dev/null
+++ b/Tests/Daemon/TestRequests.cpp
@@ -0,0 +1,185 @@
+#include "Daemon/Mesh.h"
+#include "LibHttp/Pattern.h"
+
+#include <csignal>
+#include <future>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryfold;
+using namespace cranberryfold::test_support;
+
+namespace {
+
+constexpr std::uint64_t kUploadBytes = 20000000;
+http::request const kReadStock{ { "GET", "/stock/item", {} }, "" };
+
+http::request
+Deposit(std::string const& aKey, http::header_list aHeaders = {})
+{
+  aHeaders.push_back({ "idempotency-key", aKey });
+  return { { "POST", "/deposits", std::move(aHeaders) }, "" };
+}
+
+bool
+Contains(std::string const& aText, std::string_view aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::size_t
+CountRuns(std::string const& aJournal, std::string const& aKey)
+{
+  std::size_t count = 0;
+  auto const mark = " key=" + aKey + " ";
+  for (auto line = aJournal.find("event=start"); line != std::string::npos;
+       line = aJournal.find("event=start", line + 1)) {
+    auto const end = aJournal.find('\n', line);
+    count += Contains(aJournal.substr(line, end - line), mark) ? 1 : 0;
+  }
+  return count;
+}
+
+/// Whether the answer tells the truth about a request that was started once
+/// and did not complete: an error that does not claim that it was not run.
+bool
+IsTruthfulFailure(core::attempt<http::response> const& aAnswer)
+{
+  if (!aAnswer) {
+    return true;
+  }
+  auto const outcome =
+    http::FindHeader(aAnswer->mHead.mHeaders, "x-cranberryfold-outcome");
+  return aAnswer->mHead.mStatus >= 500 && outcome != "not_run";
+}
+
+/// Sends a deposit from another thread and returns once it runs upstream.
+std::future<core::attempt<http::response>>
+StartDeposit(mesh& aMesh, std::string const& aKey)
+{
+  auto pending = std::async(std::launch::async, [&aMesh, aKey] {
+    return Send(aMesh.Caller("order"), Deposit(aKey));
+  });
+  WaitUntil([&] { return CountRuns(aMesh.Journal("stock"), aKey) == 1; });
+  return pending;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(Requests)
+
+// Guards against calls that only work on the daemon's own upstream.
+BOOST_AUTO_TEST_CASE(PassThroughTwoDaemons)
+{
+  mesh const running;
+  auto const read = Send(running.Caller("order"), kReadStock);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->mHead.mStatus == 200U);
+  BOOST_TEST(Contains(read->mBody, "\"instance\":\"stock\""));
+  auto const order =
+    Send(running.Caller("stock"),
+         { { "POST", "/orders", { { "idempotency-key", "z1/order" } } }, "" });
+  BOOST_REQUIRE(order);
+  BOOST_TEST(order->mHead.mStatus == 200U);
+  BOOST_TEST(
+    Contains(order->mBody, "\"target\":\"/stock/item\",\"status\":200"));
+}
+
+BOOST_AUTO_TEST_CASE(LargeBodiesArriveByteForByte)
+{
+  mesh const running({ "--service_time_ms=0" });
+  auto const up = SendPattern(
+    running.Caller("order"), { "PUT", "/photos/1", {} }, kUploadBytes);
+  BOOST_REQUIRE(up);
+  BOOST_TEST(up->mHead.mStatus == 200U);
+  BOOST_TEST(
+    Contains(up->mBody, http::FormatHash(http::PatternHash(kUploadBytes))));
+  auto const down = Send(running.Caller("order"),
+                         { { "GET", "/stock/bytes?size=20000000", {} }, "" });
+  BOOST_REQUIRE(down);
+  http::body_hash hash;
+  hash.Add(down->mBody);
+  BOOST_TEST(hash.Size() == kUploadBytes);
+  BOOST_TEST(hash.Digest() == http::PatternHash(kUploadBytes));
+}
+
+// Guards against half an answer that a caller takes for a whole one.
+BOOST_AUTO_TEST_CASE(TruncatedAnswersAreNeverPassedOffAsComplete)
+{
+  mesh const running;
+  for (auto const* const target :
+       { "/stock/item", "/stock/bytes?size=500000" }) {
+    auto const answer =
+      Send(running.Caller("order"),
+           { { "GET", target, { { "x-stand-in-truncate", "yes" } } }, "" });
+    BOOST_TEST((!answer || answer->mHead.mStatus >= 500));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KilledUpstreamGivesATruthfulAnswer)
+{
+  mesh running({ "--service_time_ms=3600000" });
+  auto pending = StartDeposit(running, "z1/killed-upstream");
+  running.Upstream("stock").Signal(SIGKILL);
+  BOOST_TEST(IsTruthfulFailure(pending.get()));
+  BOOST_TEST(CountRuns(running.Journal("stock"), "z1/killed-upstream") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(KilledDaemonGivesATruthfulAnswer)
+{
+  mesh running({ "--service_time_ms=3600000" });
+  auto pending = StartDeposit(running, "z1/killed-daemon");
+  running.Daemon("stock").Signal(SIGKILL);
+  BOOST_TEST(IsTruthfulFailure(pending.get()));
+  BOOST_TEST(CountRuns(running.Journal("stock"), "z1/killed-daemon") == 1U);
+}
+
+// Guards against a second run of what must happen once.
+BOOST_AUTO_TEST_CASE(ResentDepositRunsOnce)
+{
+  mesh const running;
+  auto const deposit = Deposit("z1/resent");
+  auto const first = Send(running.Caller("order"), deposit);
+  BOOST_REQUIRE(first);
+  BOOST_TEST(first->mHead.mStatus == 200U);
+  BOOST_TEST(bool(Send(running.Caller("stock"), deposit)));
+  BOOST_TEST(CountRuns(running.Journal("stock"), "z1/resent") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DamagedBytesHarmNothingElse)
+{
+  mesh const running;
+  std::string noise(100000, '\0');
+  http::FillPattern(noise.data(), noise.size(), 7);
+  auto const longHeader =
+    "GET /stock/item HTTP/1.1\r\nx: " + std::string(2000000, 'a');
+  for (auto const* const instance : { "order", "stock" }) {
+    for (auto const& address : { running.Caller(instance),
+                                 running.Egress(instance),
+                                 running.Admin(instance),
+                                 running.Peer(instance) }) {
+      SendBytes(address, noise);
+      SendBytes(address, std::string(64, '\xff') + noise);
+      SendBytes(address, longHeader);
+      SendBytes(address,
+                "POST / HTTP/1.1\r\ncontent-length: 99999999999999\r\n\r\n");
+    }
+  }
+  auto const read = Send(running.Caller("order"), kReadStock);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->mHead.mStatus == 200U);
+}
+
+// Guards against a planned stop that cuts a request.
+BOOST_AUTO_TEST_CASE(TerminatedDaemonFinishesItsRequests)
+{
+  mesh running({ "--service_time_ms=3000" });
+  auto pending = StartDeposit(running, "z1/drained");
+  running.Daemon("stock").Signal(SIGTERM);
+  auto const answer = pending.get();
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->mHead.mStatus == 200U);
+  BOOST_TEST(running.Daemon("stock").WaitForExit().value_or(-1) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Support/Process.cpp
@@ -0,0 +1,244 @@
+#include "Support/Process.h"
+
+#include "LibHttp/Client.h"
+#include "LibHttp/Pattern.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace cranberryfold::test_support {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{ 20 };
+constexpr int kCannotExecute = 127;
+constexpr int kSignalBase = 128;
+
+std::string
+ProgramPath(std::string const& aProgram)
+{
+  auto const* const folder = std::getenv("CRANBERRYFOLD_BIN");
+  return std::string(folder != nullptr ? folder : "build/bin") + "/" + aProgram;
+}
+
+/// Runs in the child only; uses nothing but async-signal-safe calls.
+[[noreturn]] void
+Execute(std::vector<char*> const& aArguments, int aOutput)
+{
+  dup2(aOutput, STDOUT_FILENO);
+  dup2(aOutput, STDERR_FILENO);
+  execv(aArguments[0], aArguments.data());
+  _exit(kCannotExecute);
+}
+
+template<class Value>
+asio::awaitable<void>
+Store(asio::awaitable<Value> aSource, Value& aOut)
+{
+  aOut = co_await std::move(aSource);
+}
+
+template<class Value>
+Value
+RunToEnd(asio::io_context& aContext, asio::awaitable<Value> aSource)
+{
+  Value value;
+  asio::co_spawn(aContext, Store(std::move(aSource), value), asio::detached);
+  aContext.run();
+  return value;
+}
+
+asio::awaitable<core::attempt<http::response>>
+ExchangePattern(core::address aPeer,
+                http::request_head aHead,
+                std::uint64_t aSize)
+{
+  core::attempt<http::response> result;
+  http::client_connection connection(co_await asio::this_coro::executor, aPeer);
+  auto const connected = co_await connection.Connect(kWaitLimit);
+  result.mError = connected.mError;
+  if (!connected) {
+    co_return result;
+  }
+  http::response received;
+  http::body_sink const sink = [&received](std::string_view aBytes) {
+    received.mBody += aBytes;
+  };
+  auto const body = http::PatternBody(aSize);
+  auto const head = co_await connection.Exchange(aHead, body, sink, kWaitLimit);
+  result.mError = head.mError;
+  if (head) {
+    received.mHead = *head;
+    result.mValue = std::move(received);
+  }
+  co_return result;
+}
+
+}
+
+child_process::child_process(std::string const& aProgram,
+                             std::vector<std::string> const& aArguments,
+                             std::string aOutputFile)
+  : mOutputFile(std::move(aOutputFile))
+{
+  std::vector<std::string> words{ ProgramPath(aProgram) };
+  words.insert(words.end(), aArguments.begin(), aArguments.end());
+  std::vector<char*> pointers;
+  for (auto& word : words) {
+    pointers.push_back(word.data());
+  }
+  pointers.push_back(nullptr);
+  int const output =
+    open(mOutputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  mId = fork();
+  if (mId == 0) {
+    Execute(pointers, output);
+  }
+  close(output);
+}
+
+child_process::child_process(child_process&& aOther) noexcept
+  : mId(std::exchange(aOther.mId, -1))
+  , mStatus(aOther.mStatus)
+  , mOutputFile(std::move(aOther.mOutputFile))
+{
+}
+
+child_process::~child_process()
+{
+  if (mId > 0 && !mStatus) {
+    kill(mId, SIGKILL);
+    waitpid(mId, nullptr, 0);
+  }
+}
+
+void
+child_process::Signal(int aSignal) const
+{
+  if (mId > 0 && !mStatus) {
+    kill(mId, aSignal);
+  }
+}
+
+std::optional<int>
+child_process::WaitForExit()
+{
+  WaitUntil([this] {
+    int status = 0;
+    if (!mStatus && waitpid(mId, &status, WNOHANG) == mId) {
+      mStatus = WIFEXITED(status) ? WEXITSTATUS(status)
+                                  : kSignalBase + WTERMSIG(status);
+    }
+    return mStatus.has_value();
+  });
+  return mStatus;
+}
+
+std::string
+child_process::Output() const
+{
+  return ReadFile(mOutputFile);
+}
+
+temporary_folder::temporary_folder()
+{
+  auto pattern =
+    (std::filesystem::temp_directory_path() / "cranberryfold-XXXXXX").string();
+  mPath = mkdtemp(pattern.data());
+}
+
+temporary_folder::~temporary_folder()
+{
+  std::error_code ignored;
+  std::filesystem::remove_all(mPath, ignored);
+}
+
+std::string
+temporary_folder::File(std::string const& aName) const
+{
+  return mPath + "/" + aName;
+}
+
+bool
+WaitUntil(std::function<bool()> const& aCondition)
+{
+  auto const end = std::chrono::steady_clock::now() + kWaitLimit;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+std::string
+ReadFile(std::string const& aFile)
+{
+  std::ifstream file(aFile);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+void
+WriteFile(std::string const& aFile, std::string const& aText)
+{
+  std::ofstream(aFile) << aText;
+}
+
+core::attempt<http::response>
+Send(core::address const& aPeer, http::request const& aRequest)
+{
+  asio::io_context context(1);
+  return RunToEnd(context, http::SendRequest(aPeer, aRequest, kWaitLimit));
+}
+
+core::attempt<http::response>
+SendPattern(core::address const& aPeer,
+            http::request_head const& aHead,
+            std::uint64_t aSize)
+{
+  asio::io_context context(1);
+  return RunToEnd(context, ExchangePattern(aPeer, aHead, aSize));
+}
+
+void
+SendBytes(core::address const& aPeer, std::string const& aBytes)
+{
+  asio::io_context context(1);
+  asio::ip::tcp::socket socket(context);
+  boost::system::error_code code;
+  socket.connect({ asio::ip::make_address(aPeer.mHost), aPeer.mPort }, code);
+  if (!code) {
+    asio::write(socket, asio::buffer(aBytes), code);
+  }
+}
+
+std::vector<std::uint16_t>
+FreePorts(std::size_t aCount)
+{
+  temporary_folder const folder;
+  child_process helper("stand_in_upstream",
+                       { "--print_free_ports", std::to_string(aCount) },
+                       folder.File("ports"));
+  helper.WaitForExit();
+  std::istringstream text(helper.Output());
+  return { std::istream_iterator<std::uint16_t>(text), {} };
+}
+
+}
--- /dev/null
+++ b/Tests/Support/Process.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "LibCore/Address.h"
+#include "LibCore/Error.h"
+#include "LibHttp/Message.h"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+/// Child processes and waiting, for tests that run whole programs. Limits are
+/// generous, because the machine may be loaded; no test asserts a duration.
+namespace cranberryfold::test_support {
+
+inline constexpr std::chrono::seconds kWaitLimit{ 120 };
+
+/// One child process. It is killed, by its id, at the end of its life.
+class child_process
+{
+public:
+  /// Starts a program of CRANBERRYFOLD_BIN; its output goes to aOutputFile.
+  child_process(std::string const& aProgram,
+                std::vector<std::string> const& aArguments,
+                std::string aOutputFile);
+  ~child_process();
+  child_process(child_process&& aOther) noexcept;
+  child_process& operator=(child_process&&) = delete;
+
+  void Signal(int aSignal) const;
+
+  /// Returns the exit status, 128 + signal when it was killed, or nothing when
+  /// it runs on after kWaitLimit.
+  std::optional<int> WaitForExit();
+
+  /// What it has written so far.
+  std::string Output() const;
+
+private:
+  pid_t mId = -1;
+  std::optional<int> mStatus;
+  std::string mOutputFile;
+};
+
+/// A folder that is removed at the end of its life.
+class temporary_folder
+{
+public:
+  temporary_folder();
+  ~temporary_folder();
+  temporary_folder(temporary_folder const&) = delete;
+  temporary_folder& operator=(temporary_folder const&) = delete;
+
+  std::string File(std::string const& aName) const;
+
+private:
+  std::string mPath;
+};
+
+/// Polls aCondition until it holds; returns false after kWaitLimit.
+bool
+WaitUntil(std::function<bool()> const& aCondition);
+
+std::string
+ReadFile(std::string const& aFile);
+
+void
+WriteFile(std::string const& aFile, std::string const& aText);
+
+/// Sends one request on a connection of its own.
+core::attempt<http::response>
+Send(core::address const& aPeer, http::request const& aRequest);
+
+/// Sends a request with a body of the fixed byte sequence of LibHttp.
+core::attempt<http::response>
+SendPattern(core::address const& aPeer,
+            http::request_head const& aHead,
+            std::uint64_t aSize);
+
+/// Writes bytes to a TCP port and closes the connection.
+void
+SendBytes(core::address const& aPeer, std::string const& aBytes);
+
+/// Asks the free-port helper for ports.
+std::vector<std::uint16_t>
+FreePorts(std::size_t aCount);
+
+}
