LibDaemon, LibControl, LibTables: Carry the claim map in the replicated state

Cause: claim groups must change only by a committed revision that reaches every daemon. The control leader proposes a map from the members as an edit of its own. Such an edit makes a revision but does not take the base revision from an operator, so that restarts of holders cause no conflicts. A member's incarnation rises with each announcement, so the announcement now also carries the start of its process, which names the life of a claim holder. Keys that name an unknown zone are refused as not run: their group would change when the zone appears.

--- a/Libraries/LibControl/AppliedState.cpp
+++ b/Libraries/LibControl/AppliedState.cpp
@@ -99,17 +99,21 @@
 void
 applied_state::ApplyEdit(log_entry const& aEntry, tables::edit const& aEdit)
 {
-  CF_ASSERT(aEdit.mBase == mState.mRevision, "edit accepted on another base");
+  CF_ASSERT(IsBaseFree(aEdit), "edit accepted on a base that was taken");
   auto changed = core::Attempt(
     [&] { return tables::ApplyChanges(mState.mTables, aEdit.mChanges); });
   CF_ASSERT(changed, core::FormatError(changed.mError));
   mState.mTables = std::move(*changed);
   mState.mRevision = core::revision{ mState.mRevision.mValue + 1 };
-  mState.mHistory.push_back(
-    { mState.mRevision,
-      aEdit.mId,
-      aEntry.mLogTime,
-      static_cast<std::uint32_t>(aEdit.mChanges.size()) });
+  bool const isSystem = tables::IsSystemEdit(aEdit);
+  if (!isSystem) {
+    mState.mOperatorRevision = mState.mRevision;
+  }
+  mState.mHistory.push_back({ mState.mRevision,
+                              aEdit.mId,
+                              aEntry.mLogTime,
+                              static_cast<std::uint32_t>(aEdit.mChanges.size()),
+                              isSystem });
   mRevisions.emplace(aEdit.mId, mState.mRevision);
   mHash = tables::ContentHash(mState.mTables);
   DropOldRecords();
@@ -145,4 +149,24 @@
   return &history[aRevision.mValue - history.front().mRevision.mValue];
 }
 
+edit_record const*
+applied_state::FindOperatorEditAfter(core::revision aBase) const
+{
+  auto const* record = FindRevision({ aBase.mValue + 1 });
+  while (record != nullptr && record->mIsSystem) {
+    record = FindRevision({ record->mRevision.mValue + 1 });
+  }
+  return record;
+}
+
+bool
+applied_state::IsBaseFree(tables::edit const& aEdit) const
+{
+  if (aEdit.mBase > mState.mRevision) {
+    return false;
+  }
+  return tables::IsSystemEdit(aEdit) ? aEdit.mBase == mState.mRevision
+                                     : aEdit.mBase >= mState.mOperatorRevision;
+}
+
 }
--- a/Libraries/LibControl/AppliedState.h
+++ b/Libraries/LibControl/AppliedState.h
@@ -34,6 +34,11 @@
   edit_record const* FindEdit(core::edit_id const& aId) const;
   /// Returns the edit that made aRevision, or nullptr as FindEdit() does.
   edit_record const* FindRevision(core::revision aRevision) const;
+  /// Returns the first operator's edit after aBase, or nullptr as FindEdit()
+  /// does.
+  edit_record const* FindOperatorEditAfter(core::revision aBase) const;
+  /// Whether aEdit can still be accepted on its base revision.
+  bool IsBaseFree(tables::edit const& aEdit) const;
 
 private:
   void ApplyEdit(log_entry const& aEntry, tables::edit const& aEdit);
--- a/Libraries/LibControl/Codec.cpp
+++ b/Libraries/LibControl/Codec.cpp
@@ -46,8 +46,11 @@
 void
 serialize(Archive& aArchive, edit_record& aRecord)
 {
-  aArchive(
-    aRecord.mRevision, aRecord.mId, aRecord.mLogTime, aRecord.mChangeCount);
+  aArchive(aRecord.mRevision,
+           aRecord.mId,
+           aRecord.mLogTime,
+           aRecord.mChangeCount,
+           aRecord.mIsSystem);
 }
 
 template<class Archive>
@@ -58,6 +61,7 @@
            aSnapshot.mTerm,
            aSnapshot.mLogTime,
            aSnapshot.mRevision,
+           aSnapshot.mOperatorRevision,
            aSnapshot.mTables,
            aSnapshot.mGroup,
            aSnapshot.mHistory);
--- a/Libraries/LibControl/ReplicaEdits.cpp
+++ b/Libraries/LibControl/ReplicaEdits.cpp
@@ -85,7 +85,7 @@
   if (aEdit.mChanges.empty()) {
     return PlainAnswer(edit_status::kUnchanged, "the edit has no changes");
   }
-  if (aEdit.mBase < current) {
+  if (aEdit.mBase < current && !mApplied.IsBaseFree(aEdit)) {
     return ConflictAnswer(aEdit.mBase);
   }
   if (aEdit.mBase > current) {
@@ -263,8 +263,7 @@
                             "another edit was accepted on revision " +
                               std::to_string(aBase.mValue));
   // The edit that took the base; a resend gets the same answer.
-  auto const* const winner =
-    mApplied.FindRevision(core::revision{ aBase.mValue + 1 });
+  auto const* const winner = mApplied.FindOperatorEditAfter(aBase);
   if (winner != nullptr) {
     answer.mRevision = winner->mRevision;
     answer.mEdit = winner->mId;
--- a/Libraries/LibControl/Types.h
+++ b/Libraries/LibControl/Types.h
@@ -79,6 +79,8 @@
   core::edit_id mId;
   core::duration mLogTime{};
   std::uint32_t mChangeCount = 0;
+  /// Made by the control leader, not by an operator.
+  bool mIsSystem = false;
 
   bool operator==(edit_record const&) const = default;
 };
@@ -90,6 +92,8 @@
   term_number mTerm = 0;
   core::duration mLogTime{};
   core::revision mRevision;
+  /// The latest revision that an operator's edit made.
+  core::revision mOperatorRevision;
   tables::table_set mTables;
   replica_group mGroup;
   /// Oldest first.
--- a/Libraries/LibDaemon/AdminEdits.cpp
+++ b/Libraries/LibDaemon/AdminEdits.cpp
@@ -21,6 +21,8 @@
   0,
   std::numeric_limits<std::int64_t>::max()
 };
+/// Ids of the control leader's own edits.
+constexpr std::string_view kSystemEditPrefix = "system/";
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kConflict = 409;
@@ -115,6 +117,9 @@
     presence::kOptional,
     [&edit](json_reader& aNested) { ReadRemovedReplica(aNested, edit); },
     "Control replica to remove.");
+  if (edit.mId.mValue.starts_with(kSystemEditPrefix)) {
+    reader.Reject("edit_id", "an id that does not begin with system/");
+  }
   tables::table_set wanted;
   bool const hasTables = reader.Object(
     "tables",
--- a/Libraries/LibDaemon/ClaimService.cpp
+++ b/Libraries/LibDaemon/ClaimService.cpp
@@ -38,6 +38,17 @@
 {
 }
 
+bool
+claim_service::KnowsHomeZone(std::string_view aKey) const
+{
+  auto const slash = aKey.find('/');
+  if (slash == std::string_view::npos) {
+    return true;
+  }
+  std::scoped_lock const lock(mMutex);
+  return mMap.mZones.contains({ std::string(aKey.substr(0, slash)) });
+}
+
 std::uint64_t
 claim_service::Claim(core::time_point aNow,
                      std::string aKey,
--- a/Libraries/LibDaemon/ClaimService.h
+++ b/Libraries/LibDaemon/ClaimService.h
@@ -33,6 +33,10 @@
                 std::uint64_t aSeed,
                 peer_messenger& aMessenger);
 
+  /// Whether a key's home zone is in the claim map. A key that names an unknown
+  /// zone must be refused: its group would change when the zone appears.
+  bool KnowsHomeZone(std::string_view aKey) const;
+
   /// Claims aKey; returns the number of the request.
   std::uint64_t Claim(core::time_point aNow,
                       std::string aKey,
--- a/Libraries/LibDaemon/ClaimedCall.cpp
+++ b/Libraries/LibDaemon/ClaimedCall.cpp
@@ -165,6 +165,10 @@
   if (aKey.size() > traffic::kMaximumKeyBytes) {
     co_return Refused(outcome::kNotRun, core::refusal_reason::kBadRequest);
   }
+  if (!aClaims.KnowsHomeZone(aKey)) {
+    co_return Refused(outcome::kNotRun,
+                      core::refusal_reason::kClaimUnavailable);
+  }
   auto const box = std::make_shared<decision_box>(aExecutor);
   auto const onDecision =
     [box, aExecutor](claim_service::decision const& aDecision) {
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -1,9 +1,11 @@
 #include "LibDaemon/ControlPlane.h"
 
 #include "LibControl/Codec.h"
+#include "LibCore/Assert.h"
 #include "LibCore/Hash.h"
 #include "LibCore/Log.h"
 #include "LibMembership/Codec.h"
+#include "LibTraffic/ClaimCodec.h"
 
 namespace cranberryfold::daemon {
 
@@ -12,6 +14,10 @@
 using namespace std::chrono_literals;
 
 constexpr core::duration kViewCheckInterval = 1s;
+constexpr core::duration kClaimMapInterval = 1s;
+/// A new leader waits for announcements, so that the first claim map does not
+/// leave most members out.
+constexpr core::duration kClaimMapDelay = 3s;
 
 membership::announcement
 OwnAnnouncement(daemon_settings const& aSettings)
@@ -19,6 +25,7 @@
   membership::announcement own;
   own.mInstance = aSettings.mInstance;
   own.mIncarnation = StartIncarnation();
+  own.mProcess = StartIncarnation();
   own.mZone = aSettings.mZone;
   own.mRegion = aSettings.mRegion;
   own.mPeerAddress = aSettings.mPeerAddress;
@@ -77,7 +84,7 @@
   member.mService = told.mService;
   member.mPeerAddress = told.mPeerAddress;
   member.mSlots = told.mSlots;
-  member.mIncarnation = told.mIncarnation;
+  member.mIncarnation = told.mProcess;
   member.mIsServing =
     !isGone && told.mLifecycle == membership::lifecycle_state::kServing;
   member.mIsDraining =
@@ -144,6 +151,11 @@
     HandleDirectory(membership::tick{});
     HandleDistributor(membership::tick{});
   });
+  mTimers.Every(Now(), kClaimMapInterval, [this](core::time_point) {
+    if (mReplica) {
+      MaintainClaimMap();
+    }
+  });
   mTimers.Every(Now(), kViewCheckInterval, [this](core::time_point) {
     mMetrics.SetGauge("revision",
                       static_cast<double>(mDistributor.Revision().mValue));
@@ -186,6 +198,14 @@
   if (mIsStopped) {
     return;
   }
+  if (aEnvelope.mTopic == control_topic::kClaimActivation) {
+    auto const report =
+      core::Attempt([&] { return DecodeActivationReport(aEnvelope.mPayload); });
+    if (report) {
+      mClaimMapKeeper.OnReport(*report);
+    }
+    return;
+  }
   if (aEnvelope.mTopic == control_topic::kReplica) {
     auto message =
       core::Attempt([&] { return control::DecodeMessage(aEnvelope.mPayload); });
@@ -277,6 +297,83 @@
   HandleDirectory(membership::work_received{ std::move(aSenders) });
 }
 
+void
+control_plane::ReportActivations(std::vector<traffic::shard_activated> aShards)
+{
+  if (aShards.empty()) {
+    return;
+  }
+  activation_report const report{ mSettings.mInstance, std::move(aShards) };
+  if (mReplica) {
+    mClaimMapKeeper.OnReport(report);
+  }
+  control_envelope const envelope{ control_topic::kClaimActivation,
+                                   EncodeActivationReport(report) };
+  for (auto const& member : mDirectory.Members()) {
+    auto const& told = member.mAnnouncement;
+    if (told.mControlReplica && told.mInstance != mSettings.mInstance) {
+      mTransport.SendStream(told.mPeerAddress, envelope);
+    }
+  }
+}
+
+std::vector<traffic::claim_member>
+control_plane::ClaimMembers() const
+{
+  std::vector<traffic::claim_member> members;
+  for (auto const& member : mDirectory.Members()) {
+    auto const& told = member.mAnnouncement;
+    bool const isLeaving =
+      told.mLifecycle == membership::lifecycle_state::kDraining ||
+      told.mLifecycle == membership::lifecycle_state::kLeft;
+    bool const isGone = member.mState == membership::member_state::kDead ||
+                        member.mState == membership::member_state::kLeft;
+    if (!isLeaving && !isGone) {
+      members.push_back({ told.mZone, { told.mInstance, told.mProcess } });
+    }
+  }
+  return members;
+}
+
+void
+control_plane::MaintainClaimMap()
+{
+  auto const status = mReplica->Status();
+  if (status.mRole != control::replica_role::kLeader || !status.mLeaseValid) {
+    mLeadsSince.reset();
+    return;
+  }
+  mLeadsSince = mLeadsSince.value_or(Now());
+  bool const isOutdated = mDistributor.Revision() != status.mRevision;
+  if (Now() < *mLeadsSince + kClaimMapDelay || mIsClaimMapPending ||
+      isOutdated) {
+    return;
+  }
+  auto const tables = mDistributor.Tables();
+  auto const encoded = tables ? tables->mClaimMap : std::string();
+  traffic::claim_map current;
+  if (!encoded.empty()) {
+    auto const decoded =
+      core::Attempt([&] { return traffic::DecodeClaimMap(encoded); });
+    CF_ASSERT(decoded, "the claim map in force cannot be decoded");
+    current = *decoded;
+  }
+  auto const proposed = mClaimMapKeeper.Propose(current, ClaimMembers());
+  if (!proposed) {
+    return;
+  }
+  tables::edit change;
+  change.mId = { "system/claim-map/" + std::to_string(proposed->mEpoch.mValue) +
+                 "/" + std::to_string(status.mTerm) };
+  change.mBase = status.mRevision;
+  change.mChanges.emplace_back(
+    tables::put_claim_map{ traffic::EncodeClaimMap(*proposed) });
+  mIsClaimMapPending = true;
+  mReplica->SubmitEdit(std::move(change), [this](control::edit_answer const&) {
+    mIsClaimMapPending = false;
+  });
+}
+
 std::vector<membership::member>
 control_plane::Members() const
 {
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/TimerService.h"
+#include "LibDaemon/ClaimMapKeeper.h"
 #include "LibDaemon/ControlTransport.h"
 #include "LibDaemon/ReplicaHost.h"
 #include "LibDaemon/RoutingView.h"
@@ -44,6 +45,9 @@
   void SetLifecycle(membership::lifecycle_state aState);
   /// Peers that sent work lately; a drain is pushed to them.
   void NoteSenders(std::vector<core::address> aSenders);
+  /// Tells the control replicas in which shards the own holder votes although
+  /// the claim map still has earlier groups for them.
+  void ReportActivations(std::vector<traffic::shard_activated> aShards);
 
   std::vector<membership::member> Members() const;
   membership::configuration_distributor const& Configuration() const
@@ -64,6 +68,9 @@
   void SendToReplica(core::instance_id const& aTo,
                      control::message const& aMessage);
   void PublishView();
+  /// On the leader: proposes a claim map that fits the members.
+  void MaintainClaimMap();
+  std::vector<traffic::claim_member> ClaimMembers() const;
 
   asio::io_context& mContext;
   daemon_settings const& mSettings;
@@ -75,6 +82,10 @@
   membership::member_directory mDirectory;
   membership::configuration_distributor mDistributor;
   std::unique_ptr<replica_host> mReplica;
+  claim_map_keeper mClaimMapKeeper;
+  bool mIsClaimMapPending = false;
+  /// Since when this replica has led without a break.
+  std::optional<core::time_point> mLeadsSince;
   bool mIsStopped = false;
 };
 
--- a/Libraries/LibDaemon/ControlTransport.cpp
+++ b/Libraries/LibDaemon/ControlTransport.cpp
@@ -9,7 +9,7 @@
 serialize(Archive& aArchive, control_envelope& aEnvelope)
 {
   wire::SerializeEnumeration(
-    aArchive, aEnvelope.mTopic, control_topic::kReplica);
+    aArchive, aEnvelope.mTopic, control_topic::kClaimActivation);
   aArchive(aEnvelope.mPayload);
 }
 
--- a/Libraries/LibDaemon/ControlTransport.h
+++ b/Libraries/LibDaemon/ControlTransport.h
@@ -15,6 +15,7 @@
 {
   kMembership,
   kReplica,
+  kClaimActivation,
 };
 
 struct control_envelope
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Hash.h"
 #include "LibCore/Log.h"
+#include "LibTraffic/ClaimCodec.h"
 
 #include <csignal>
 
@@ -14,6 +15,7 @@
 constexpr auto kHealthInterval = 250ms;
 constexpr core::duration kAdmissionTick = 10ms;
 constexpr core::duration kClaimTick = 100ms;
+constexpr core::duration kActivationInterval = 1s;
 constexpr core::duration kSenderInterval = 1s;
 /// Time for the drain announcement to reach senders before an idle daemon
 /// leaves.
@@ -135,9 +137,27 @@
     }
   }
   mQuarantine.SetPeers(Now(), std::move(peers));
+  InstallClaimMap(aView->mTables.mClaimMap);
   mPolicy.SetView(Now(), std::move(aView));
 }
 
+void
+mesh_daemon::InstallClaimMap(std::string const& aEncoded)
+{
+  if (aEncoded == mClaimMap || aEncoded.empty()) {
+    return;
+  }
+  auto const map =
+    core::Attempt([&] { return traffic::DecodeClaimMap(aEncoded); });
+  if (!map) {
+    core::LogError("claim_map_refused")
+      .Field("error", core::FormatError(map.mError));
+    return;
+  }
+  mClaimMap = aEncoded;
+  mClaims.InstallMap(Now(), *map);
+}
+
 call_server_hooks
 mesh_daemon::MakePeerHooks(traffic_thread& aThread)
 {
@@ -246,6 +266,9 @@
     mClaims.Tick(aNow);
     mQuarantine.Tick(aNow);
   });
+  timers.Every(Now(), kActivationInterval, [this](core::time_point) {
+    mControl.ReportActivations(mClaims.ActivatedShards());
+  });
   timers.Every(Now(), kSenderInterval, [this](core::time_point) {
     mControl.NoteSenders(mPolicy.TakeSenders());
     mMetrics.SetGauge("calls_in_flight",
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -56,6 +56,7 @@
                      traffic_message const& aMessage,
                      hello const& aPeer);
   void OnView(std::shared_ptr<routing_view const> aView);
+  void InstallClaimMap(std::string const& aEncoded);
 
   daemon_settings mSettings;
   metrics mMetrics;
@@ -72,6 +73,8 @@
   admin_api mAdmin;
   std::vector<std::unique_ptr<traffic_thread>> mThreads;
   std::vector<bound_listener> mListeners;
+  /// Encoded form of the claim map that was installed last.
+  std::string mClaimMap;
   bool mIsStopped = false;
 };
 
--- a/Libraries/LibMembership/Codec.cpp
+++ b/Libraries/LibMembership/Codec.cpp
@@ -11,6 +11,7 @@
 {
   aArchive(aValue.mInstance,
            aValue.mIncarnation,
+           aValue.mProcess,
            aValue.mZone,
            aValue.mRegion,
            aValue.mPeerAddress,
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -47,6 +47,8 @@
   /// Start time of the process in milliseconds since 1970, incremented with
   /// each change and refutation.
   core::incarnation mIncarnation;
+  /// Start of the process; unlike mIncarnation it stays the same for its life.
+  core::incarnation mProcess;
   core::zone_id mZone;
   core::region_id mRegion;
   core::address mPeerAddress;
--- a/Libraries/LibTables/Serialize.h
+++ b/Libraries/LibTables/Serialize.h
@@ -37,7 +37,7 @@
 void
 serialize(Archive& aArchive, table_set& aTables)
 {
-  aArchive(aTables.mPools, aTables.mRoutes);
+  aArchive(aTables.mPools, aTables.mRoutes, aTables.mClaimMap);
 }
 
 template<class Archive>
@@ -82,6 +82,13 @@
   aArchive(aChange.mInstance);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, put_claim_map& aChange)
+{
+  aArchive(aChange.mEncoded);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, edit& aEdit)
--- a/Libraries/LibTables/TableRules.cpp
+++ b/Libraries/LibTables/TableRules.cpp
@@ -218,6 +218,11 @@
   {
     return Remove(mTables.mRoutes, "route ", aChange.mName);
   }
+  core::result<void> operator()(put_claim_map const& aChange) const
+  {
+    mTables.mClaimMap = aChange.mEncoded;
+    return {};
+  }
   core::result<void> operator()(add_replica const&) const { return {}; }
   core::result<void> operator()(remove_replica const&) const { return {}; }
 
@@ -418,6 +423,17 @@
   return CheckOverlaps(aTables);
 }
 
+bool
+IsSystemEdit(edit const& aEdit)
+{
+  return !aEdit.mChanges.empty() &&
+         std::all_of(aEdit.mChanges.begin(),
+                     aEdit.mChanges.end(),
+                     [](change const& aChange) {
+                       return std::holds_alternative<put_claim_map>(aChange);
+                     });
+}
+
 std::vector<change>
 CompareTables(table_set const& aFrom, table_set const& aTo)
 {
--- a/Libraries/LibTables/TableRules.h
+++ b/Libraries/LibTables/TableRules.h
@@ -42,7 +42,8 @@
 core::result<void>
 CheckTables(table_set const& aTables);
 
-/// Returns the changes that lead from aFrom to aTo.
+/// Returns the changes that lead from aFrom to aTo. The claim map is left
+/// alone, since operators do not write it.
 std::vector<change>
 CompareTables(table_set const& aFrom, table_set const& aTo);
 
--- a/Libraries/LibTables/Tables.h
+++ b/Libraries/LibTables/Tables.h
@@ -97,6 +97,9 @@
 {
   std::map<std::string, pool> mPools;
   std::map<std::string, route> mRoutes;
+  /// Encoded claim map of LibTraffic. Kept by the control leader, not by
+  /// operators, and carried along so that it reaches every daemon.
+  std::string mClaimMap;
 
   bool operator==(table_set const&) const = default;
 };
@@ -139,12 +142,20 @@
   bool operator==(remove_replica const&) const = default;
 };
 
+/// Replaces the claim map; made by the control leader only.
+struct put_claim_map
+{
+  std::string mEncoded;
+  bool operator==(put_claim_map const&) const = default;
+};
+
 using change = std::variant<put_pool,
                             remove_pool,
                             put_route,
                             remove_route,
                             add_replica,
-                            remove_replica>;
+                            remove_replica,
+                            put_claim_map>;
 
 /// A set of changes that is accepted as a whole or not at all.
 struct edit
@@ -157,4 +168,9 @@
   bool operator==(edit const&) const = default;
 };
 
+/// Whether the control leader made the edit. Such an edit makes a revision,
+/// but does not take the base revision away from an operator's edit.
+bool
+IsSystemEdit(edit const& aEdit);
+
 }
