--- a/Libraries/LibControl/Replica.cpp
+++ b/Libraries/LibControl/Replica.cpp
@@ -94,6 +94,11 @@
   if (!TakesPart()) {
     return;
   }
+  // A restart without a majority would otherwise come back with the tables
+  // before the last accepted edit.
+  if (mCommitted > mPersistedCommit) {
+    Persist({});
+  }
   if (IsLeader()) {
     TickLeader();
     return;
--- a/Tests/LibControl/TestReplicaEdits.cpp
+++ b/Tests/LibControl/TestReplicaEdits.cpp
@@ -188,6 +188,20 @@
   BOOST_TEST(group[group.Leader()].mReplica->History().size() == 50);
 }
 
+// Guards against a restart that comes back with older tables while there is no
+// majority to tell it what is accepted.
+BOOST_AUTO_TEST_CASE(LastEditIsKnownBeforeAnElection)
+{
+  test_group group(3);
+  group.Advance(kElectionTime);
+  auto const leader = group.Leader();
+  group.SubmitAndWait(leader, PoolEdit("e1", 0));
+  group.Advance(kTickInterval);
+  group.Kill(leader);
+  group.Start(leader);
+  BOOST_TEST(group.Status(leader).mRevision.mValue == 1);
+}
+
 // Guards against a replica that waits forever for entries that are compacted.
 BOOST_AUTO_TEST_CASE(LaggingReplicaGetsASnapshot)
 {
--- a/Tests/RandomRun/TestControlRun.cpp
+++ b/Tests/RandomRun/TestControlRun.cpp
@@ -54,8 +54,8 @@
 
 BOOST_AUTO_TEST_SUITE(ControlRun)
 
-// Includes seeds that failed in earlier versions: 32 (learner with a group of
-// its own), 87 (read that claimed to be current), 184 (lost majority).
+// Guards against a change of the replica that only shows under many faults. The
+// faults found so far have tests of their own in Tests/LibControl.
 BOOST_AUTO_TEST_CASE(FixedSeedsHoldAllInvariants)
 {
   for (int const seed : { 1, 2, 3, 32, 87, 129, 184, 300 }) {
@@ -82,7 +82,7 @@
 
 BOOST_AUTO_TEST_CASE(SyncBeforeAnswerIsNeeded)
 {
-  CheckMechanism("sync_before_answer", "25", "was made by");
+  CheckMechanism("sync_before_answer", "16", "was made by");
 }
 
 BOOST_AUTO_TEST_CASE(LeaseCheckIsNeeded)
