--- /dev/null
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -0,0 +1,154 @@
+#include "LibMembership/ConfigurationDistributor.h"
+#include "LibTables/TableRules.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryfold;
+using namespace cranberryfold::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::time_point const kStart{ 100s };
+
+tables::table_set
+Tables(std::uint32_t aQueueLimit)
+{
+  tables::table_set made;
+  made.mPools["stock"] = { .mName = "stock", .mService = { "stock" } };
+  made.mPools["stock"].mQueueLimit = aQueueLimit;
+  return made;
+}
+
+tables_committed
+Commit(std::uint64_t aRevision)
+{
+  auto const limit = static_cast<std::uint32_t>(aRevision);
+  return { { aRevision },
+           std::make_shared<tables::table_set const>(Tables(limit)),
+           true };
+}
+
+configuration_snapshot
+Snapshot(std::uint64_t aRevision)
+{
+  auto const made = Tables(static_cast<std::uint32_t>(aRevision));
+  return { { aRevision }, tables::ContentHash(made), made, {} };
+}
+
+configuration_distributor
+Distributor(std::string const& aName = "self")
+{
+  return { { { { aName }, { aName, 7000 } } }, core::random_source(1) };
+}
+
+configuration_message_received
+From(std::string const& aName, configuration_message aMessage)
+{
+  return { { { { aName }, { aName, 7000 } }, std::move(aMessage) } };
+}
+
+/// Returns the first message of one kind.
+template<class Message>
+std::optional<Message>
+FirstSent(std::vector<distributor_action> const& aActions)
+{
+  for (auto const& action : aActions) {
+    if (auto const* const send = std::get_if<send_message>(&action)) {
+      auto const& body =
+        std::get<addressed<configuration_message>>(send->mMessage).mBody;
+      if (auto const* const typed = std::get_if<Message>(&body)) {
+        return *typed;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(Distribution)
+
+// Guards against a revision in force that goes back after a restart of a peer.
+BOOST_AUTO_TEST_CASE(OlderSnapshotIsIgnored)
+{
+  auto distributor = Distributor();
+  distributor.Handle(kStart, From("x", Snapshot(5)));
+  auto const actions = distributor.Handle(kStart, From("x", Snapshot(4)));
+  BOOST_TEST(actions.empty());
+  BOOST_TEST(distributor.Revision().mValue == 5U);
+}
+
+// Guards against damaged tables in force.
+BOOST_AUTO_TEST_CASE(SnapshotWithAWrongHashIsRefused)
+{
+  auto distributor = Distributor();
+  auto damaged = Snapshot(5);
+  damaged.mTables = Tables(77);
+  distributor.Handle(kStart, From("x", damaged));
+  BOOST_TEST(distributor.Revision().mValue == 0U);
+}
+
+// Guards against deltas on the wrong base: the receiver asks for the rest.
+BOOST_AUTO_TEST_CASE(DeltaBeyondAGapLeadsToARequest)
+{
+  auto leader = Distributor("leader");
+  leader.Handle(kStart, Commit(1));
+  leader.Handle(kStart, Commit(2));
+  auto const answer = FirstSent<configuration_deltas>(
+    leader.Handle(kStart, From("self", configuration_request{ { 1 } })));
+  BOOST_REQUIRE(answer);
+  auto distributor = Distributor();
+  auto const request = FirstSent<configuration_request>(
+    distributor.Handle(kStart, From("leader", *answer)));
+  BOOST_REQUIRE(request);
+  BOOST_TEST(request->mRevision.mValue == 0U);
+  auto const both = FirstSent<configuration_deltas>(
+    leader.Handle(kStart, From("self", *request)));
+  BOOST_REQUIRE(both);
+  distributor.Handle(kStart, From("leader", *both));
+  BOOST_TEST(distributor.Revision().mValue == 2U);
+  BOOST_TEST(distributor.Hash() == leader.Hash());
+}
+
+// Guards against a history with a gap after a snapshot to the next revision;
+// a peer that was offered it never caught up.
+BOOST_AUTO_TEST_CASE(HistoryHasNoGapAfterASnapshot)
+{
+  auto distributor = Distributor();
+  distributor.Handle(kStart, Commit(1));
+  distributor.Handle(kStart, From("x", Snapshot(2)));
+  distributor.Handle(kStart, Commit(3));
+  auto const actions =
+    distributor.Handle(kStart, From("peer", configuration_request{ { 0 } }));
+  BOOST_TEST(!FirstSent<configuration_deltas>(actions).has_value());
+  BOOST_TEST(FirstSent<configuration_snapshot>(actions).has_value());
+}
+
+// Guards against a daemon that stays behind after lost pushes.
+BOOST_AUTO_TEST_CASE(DigestOfANewerRevisionIsFollowedByARequest)
+{
+  auto distributor = Distributor();
+  BOOST_TEST(!distributor.IsCaughtUp());
+  auto const newer = Snapshot(9);
+  auto const actions = distributor.Handle(
+    kStart,
+    From("x", configuration_digest{ newer.mRevision, newer.mHash, false }));
+  BOOST_TEST(FirstSent<configuration_request>(actions).has_value());
+  BOOST_TEST(!distributor.IsCaughtUp());
+  distributor.Handle(kStart, From("x", newer));
+  BOOST_TEST(distributor.IsCaughtUp());
+}
+
+// Guards against a relay that keeps news for itself.
+BOOST_AUTO_TEST_CASE(RelayPassesNewsDownTheTree)
+{
+  auto relay = Distributor();
+  contact const self{ { "self" }, { "self", 7000 } };
+  contact const peer{ { "peer" }, { "peer", 7000 } };
+  relay.Handle(kStart, peers_changed{ { { peer }, {}, { self } } });
+  auto const actions = relay.Handle(kStart, From("x", Snapshot(1)));
+  BOOST_TEST(FirstSent<configuration_snapshot>(actions).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibMembership/TestMain.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE LibMembership
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/Tests/LibMembership/TestMemberDirectory.cpp
@@ -0,0 +1,266 @@
+#include "LibMembership/MemberDirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryfold;
+using namespace cranberryfold::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::time_point const kStart{ 100s };
+
+announcement
+Announce(std::string const& aName, std::uint64_t aIncarnation)
+{
+  announcement made;
+  made.mInstance = { aName };
+  made.mIncarnation = { aIncarnation };
+  made.mZone = { "zone-a" };
+  made.mPeerAddress = { aName, 7000 };
+  made.mLifecycle = lifecycle_state::kServing;
+  return made;
+}
+
+directory_settings
+Settings(std::string const& aName)
+{
+  return { Announce(aName, 1), {}, {} };
+}
+
+member_message_received
+From(std::string const& aName, member_message aMessage)
+{
+  return { { { { aName }, { aName, 7000 } }, std::move(aMessage) } };
+}
+
+update_batch
+Batch(announcement const& aAnnouncement, member_state aState)
+{
+  return { { { aAnnouncement, aState } }, {}, {} };
+}
+
+/// Returns the messages of one kind with their receivers' hosts.
+template<class Message>
+std::vector<std::pair<std::string, Message>>
+Sent(std::vector<directory_action> const& aActions)
+{
+  std::vector<std::pair<std::string, Message>> found;
+  for (auto const& action : aActions) {
+    auto const* const send = std::get_if<send_message>(&action);
+    if (send == nullptr) {
+      continue;
+    }
+    auto const& body =
+      std::get<addressed<member_message>>(send->mMessage).mBody;
+    if (auto const* const typed = std::get_if<Message>(&body)) {
+      found.emplace_back(send->mTo.mHost, *typed);
+    }
+  }
+  return found;
+}
+
+member_state
+StateOf(member_directory const& aDirectory, std::string const& aName)
+{
+  for (auto const& entry : aDirectory.Members()) {
+    if (entry.mAnnouncement.mInstance.mValue == aName) {
+      return entry.mState;
+    }
+  }
+  BOOST_FAIL("member is missing: " + aName);
+  return member_state::kDead;
+}
+
+/// Ticks until aEnd; a zone peer named "other" shows itself each second when
+/// aHearsOthers is set.
+std::vector<directory_action>
+TickUntil(member_directory& aDirectory,
+          core::time_point aFrom,
+          core::time_point aEnd,
+          bool aHearsOthers)
+{
+  std::vector<directory_action> all;
+  for (auto now = aFrom; now <= aEnd; now += kTickInterval) {
+    if (aHearsOthers) {
+      aDirectory.Handle(now, From("other", ping_answer{ 0, {} }));
+    }
+    auto const actions = aDirectory.Handle(now, tick{});
+    all.insert(all.end(), actions.begin(), actions.end());
+  }
+  return all;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(Directory)
+
+// Guards against a member that stays dead in all views after a false alarm.
+BOOST_AUTO_TEST_CASE(SuspicionAgainstItselfIsRefutedWithAHigherIncarnation)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(
+    kStart, From("peer", Batch(Announce("self", 5), member_state::kSuspect)));
+  BOOST_TEST(directory.Own().mIncarnation.mValue == 6U);
+  directory.Handle(
+    kStart, From("peer", Batch(Announce("self", 3), member_state::kDead)));
+  BOOST_TEST(directory.Own().mIncarnation.mValue == 6U);
+}
+
+// Guards against old news that undo newer ones.
+BOOST_AUTO_TEST_CASE(OnlyAHigherIncarnationRevivesADeadMember)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  auto const hear = [&](std::uint64_t aIncarnation, member_state aState) {
+    directory.Handle(kStart,
+                     From("x", Batch(Announce("peer", aIncarnation), aState)));
+    return StateOf(directory, "peer");
+  };
+  BOOST_TEST((hear(4, member_state::kDead) == member_state::kDead));
+  BOOST_TEST((hear(4, member_state::kAlive) == member_state::kDead));
+  BOOST_TEST((hear(3, member_state::kAlive) == member_state::kDead));
+  BOOST_TEST((hear(5, member_state::kAlive) == member_state::kAlive));
+}
+
+// Guards against a dead member that is never noticed, and against a verdict
+// without time for a refutation.
+BOOST_AUTO_TEST_CASE(SilentMemberIsSuspectedFirstAndDeadLater)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(
+    kStart, From("other", Batch(Announce("other", 1), member_state::kAlive)));
+  directory.Handle(
+    kStart, From("other", Batch(Announce("peer", 1), member_state::kAlive)));
+  bool wasSuspect = false;
+  for (auto now = kStart; now < kStart + 3s; now += kTickInterval) {
+    TickUntil(directory, now, now, true);
+    wasSuspect |= StateOf(directory, "peer") == member_state::kSuspect;
+    BOOST_TEST((StateOf(directory, "peer") != member_state::kDead));
+  }
+  BOOST_TEST(wasSuspect);
+  TickUntil(directory, kStart + 3s, kStart + 9s, true);
+  BOOST_TEST((StateOf(directory, "peer") == member_state::kDead));
+}
+
+// Guards against a cut-off daemon that declares everybody else dead.
+BOOST_AUTO_TEST_CASE(DaemonThatHearsNobodyDeclaresNobodyDead)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(
+    kStart, From("peer", Batch(Announce("peer", 1), member_state::kAlive)));
+  TickUntil(directory, kStart, kStart + 60s, false);
+  BOOST_TEST((StateOf(directory, "peer") != member_state::kDead));
+}
+
+// Guards against a process that wakes up from a pause and blames the others.
+BOOST_AUTO_TEST_CASE(PauseOfTheOwnProcessRestartsSuspicions)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(kStart, tick{});
+  directory.Handle(
+    kStart, From("other", Batch(Announce("peer", 1), member_state::kSuspect)));
+  auto const later = kStart + 10s;
+  directory.Handle(later, From("other", ping_answer{ 0, {} }));
+  directory.Handle(later, tick{});
+  BOOST_TEST((StateOf(directory, "peer") == member_state::kSuspect));
+}
+
+// Guards against suspicion by a single broken link.
+BOOST_AUTO_TEST_CASE(UnansweredPingIsTriedThroughOthers)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  for (auto const* name : { "p1", "p2", "p3", "p4" }) {
+    directory.Handle(
+      kStart, From(name, Batch(Announce(name, 1), member_state::kAlive)));
+  }
+  auto const actions = TickUntil(directory, kStart, kStart + 2s, true);
+  auto const requests = Sent<ping_request>(actions);
+  BOOST_REQUIRE(!requests.empty());
+  BOOST_TEST(requests.front().first !=
+             requests.front().second.mTarget.mAddress.mHost);
+}
+
+// Guards against work sent to a draining upstream: those who sent work are told
+// at once, with repeats against loss.
+BOOST_AUTO_TEST_CASE(DrainIsPushedToRecentSenders)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(kStart, work_received{ { { "old", 7000 } } });
+  auto const drained = kStart + 90s;
+  directory.Handle(drained - 10s, work_received{ { { "sender", 7000 } } });
+  auto actions =
+    directory.Handle(drained, own_state_changed{ lifecycle_state::kDraining });
+  auto const later = TickUntil(directory, drained + 100ms, drained + 2s, false);
+  actions.insert(actions.end(), later.begin(), later.end());
+  int pushes = 0;
+  for (auto const& [host, batch] : Sent<update_batch>(actions)) {
+    BOOST_TEST(host != "old");
+    pushes += host == "sender" ? 1 : 0;
+  }
+  BOOST_TEST(pushes == 3);
+}
+
+// Guards against a member that returns from the dead with an old incarnation
+// through a peer that was cut off when it was removed.
+BOOST_AUTO_TEST_CASE(RemovedMemberComesBackOnlyWithANewIncarnation)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(kStart, tick{});
+  auto const gone = Batch(Announce("peer", 4), member_state::kDead);
+  directory.Handle(kStart, From("x", gone));
+  auto const later = kStart + 11min;
+  directory.Handle(later, tick{});
+  BOOST_TEST(directory.Members().size() == 1U);
+  directory.Handle(later, From("x", gone));
+  BOOST_TEST(directory.Members().size() == 1U);
+  // The member itself is told, so that it announces a higher incarnation.
+  auto const actions = directory.Handle(
+    later, From("peer", digest{ 1, true, Announce("peer", 4), {}, {} }));
+  auto const refused = Sent<entry_exchange>(actions);
+  BOOST_REQUIRE(refused.size() == 1U);
+  BOOST_TEST(refused.front().second.mRemovals.size() == 1U);
+  directory.Handle(later,
+                   From("x", Batch(Announce("peer", 5), member_state::kAlive)));
+  BOOST_TEST(directory.Members().size() == 2U);
+}
+
+// Guards against a removal notice that a living member takes without answer.
+BOOST_AUTO_TEST_CASE(RemovalOfTheOwnDaemonIsRefuted)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  directory.Handle(
+    kStart, From("x", entry_exchange{ {}, {}, { { { "self" }, { 7 } } } }));
+  BOOST_TEST(directory.Own().mIncarnation.mValue == 8U);
+}
+
+// Guards against a zone that is declared dead member by member.
+BOOST_AUTO_TEST_CASE(SilentZoneBecomesUnreachableAsAWhole)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  auto far = Announce("far", 1);
+  far.mZone = { "zone-b" };
+  directory.Handle(kStart, From("far", Batch(far, member_state::kAlive)));
+  TickUntil(directory, kStart, kStart + 6s, false);
+  BOOST_TEST((StateOf(directory, "far") == member_state::kUnreachable));
+  // An answer to a digest makes it reachable again.
+  auto const actions =
+    TickUntil(directory, kStart + 6100ms, kStart + 8s, false);
+  auto const digests = Sent<digest>(actions);
+  BOOST_REQUIRE(!digests.empty());
+  directory.Handle(
+    kStart + 8s,
+    From("far", digest_answer{ digests.back().second.mSequence, {}, {} }));
+  TickUntil(directory, kStart + 8100ms, kStart + 8200ms, false);
+  BOOST_TEST((StateOf(directory, "far") == member_state::kAlive));
+}
+
+// Guards against answers on behalf of an instance that had the address before.
+BOOST_AUTO_TEST_CASE(PingForAnotherInstanceIsNotAnswered)
+{
+  member_directory directory(Settings("self"), core::random_source(1));
+  auto const actions =
+    directory.Handle(kStart, From("x", ping{ 1, { "former" }, {} }));
+  BOOST_TEST(Sent<ping_answer>(actions).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/RandomRun/TestMain.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE RandomRun
+#include <boost/test/unit_test.hpp>
