LibTraffic: Take out the priority of calls that have passed a hop

Since front daemons refuse early what a needed pool would refuse, hardly any passed work is refused, and the priority of passed calls over root requests of the same class only splits a class in two. The depth stays in the context for the hop limit.

--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kRecoveryQueuePart = 2;
 /// Positions by which an upstream with room lowers its threshold, so that a
 /// free place is not left empty until the feedback has moved. More than half a
-/// band would let lower classes take the places of higher ones.
+/// class would let lower classes take the places of higher ones.
 constexpr std::uint32_t kRelaxedPositions = 32;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -76,7 +76,7 @@
     return;
   }
   queued_call const call{
-    aEvent.mCall, ShedBand(position), aNow, aEvent.mContext.mDeadline
+    aEvent.mCall, ShedLevel(position), aNow, aEvent.mContext.mDeadline
   };
   if (mMechanisms.mQueueDeadline && !CanMeetDeadline(aNow, call)) {
     Refuse(aEvent.mCall, refusal_reason::kDeadlineExceeded);
@@ -174,7 +174,7 @@
 {
   core::duration wait{};
   if (!HasRoom(aNow) && mFeedback.CompletionRate() > 0) {
-    auto const ahead = static_cast<double>(mQueue.AheadOf(aCall.mBand));
+    auto const ahead = static_cast<double>(mQueue.AheadOf(aCall.mLevel));
     wait = core::duration(static_cast<std::int64_t>(
       kMicrosecondsPerSecond * ahead / mFeedback.CompletionRate()));
   }
@@ -207,7 +207,7 @@
 {
   if (mQueue.Size() >= QueueLimit()) {
     mFeedback.CountOverload();
-    auto const dropped = mQueue.PopNewestBelow(aCall.mBand);
+    auto const dropped = mQueue.PopNewestBelow(aCall.mLevel);
     Refuse(dropped ? dropped->mCall : aCall.mCall, refusal_reason::kQueueFull);
     if (!dropped) {
       return;
--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 std::uint32_t
-Invert(std::uint32_t aBand)
+Invert(std::uint32_t aLevel)
 {
-  return std::numeric_limits<std::uint32_t>::max() - aBand;
+  return std::numeric_limits<std::uint32_t>::max() - aLevel;
 }
 
 }
@@ -18,7 +18,7 @@
 void
 admission_queue::Push(queued_call aCall)
 {
-  order const key{ Invert(aCall.mBand), ++mLastSequence };
+  order const key{ Invert(aCall.mLevel), ++mLastSequence };
   mOrders.emplace(aCall.mCall, key);
   mCalls.emplace(key, aCall);
 }
@@ -42,9 +42,9 @@
 }
 
 std::optional<queued_call>
-admission_queue::PopNewestBelow(std::uint32_t aBand)
+admission_queue::PopNewestBelow(std::uint32_t aLevel)
 {
-  if (mCalls.empty() || std::prev(mCalls.end())->second.mBand >= aBand) {
+  if (mCalls.empty() || std::prev(mCalls.end())->second.mLevel >= aLevel) {
     return std::nullopt;
   }
   return Take(std::prev(mCalls.end()));
@@ -76,10 +76,10 @@
 }
 
 std::size_t
-admission_queue::AheadOf(std::uint32_t aBand) const
+admission_queue::AheadOf(std::uint32_t aLevel) const
 {
   auto const end = mCalls.upper_bound(
-    { Invert(aBand), std::numeric_limits<std::uint64_t>::max() });
+    { Invert(aLevel), std::numeric_limits<std::uint64_t>::max() });
   return static_cast<std::size_t>(std::distance(mCalls.begin(), end));
 }
 
--- a/Libraries/LibTraffic/AdmissionQueue.h
+++ b/Libraries/LibTraffic/AdmissionQueue.h
@@ -18,25 +18,25 @@
 {
   call_id mCall;
   /// Higher ones leave first.
-  std::uint32_t mBand = 0;
+  std::uint32_t mLevel = 0;
   core::time_point mArrived;
   core::time_point mDeadline;
 
   bool operator==(queued_call const&) const = default;
 };
 
-/// Calls that wait for admission, by band and then in order of arrival.
+/// Calls that wait for admission, by level and then in order of arrival.
 class admission_queue
 {
 public:
   void Push(queued_call aCall);
 
-  /// Removes and returns the oldest call of the highest band.
+  /// Removes and returns the oldest call of the highest level.
   std::optional<queued_call> PopFirst();
 
-  /// Removes and returns the newest call of the lowest band, if that band is
-  /// below aBand.
-  std::optional<queued_call> PopNewestBelow(std::uint32_t aBand);
+  /// Removes and returns the newest call of the lowest level, if that level is
+  /// below aLevel.
+  std::optional<queued_call> PopNewestBelow(std::uint32_t aLevel);
 
   /// Removes and returns what arrived before aOldest or is due at aNow.
   std::vector<queued_call> PopExpired(core::time_point aNow,
@@ -45,14 +45,14 @@
   /// Removes a call; returns false when it does not wait here.
   bool Remove(call_id aCall);
 
-  /// Returns the number of waiting calls in aBand or above.
-  std::size_t AheadOf(std::uint32_t aBand) const;
+  /// Returns the number of waiting calls in aLevel or above.
+  std::size_t AheadOf(std::uint32_t aLevel) const;
 
   std::size_t Size() const { return mCalls.size(); }
   bool IsEmpty() const { return mCalls.empty(); }
 
 private:
-  /// Inverted band, then sequence: the first entry leaves first.
+  /// Inverted level, then sequence: the first entry leaves first.
   using order = std::pair<std::uint32_t, std::uint64_t>;
   using entries = std::map<order, queued_call>;
 
--- a/Libraries/LibTraffic/AdmissionThreshold.cpp
+++ b/Libraries/LibTraffic/AdmissionThreshold.cpp
@@ -24,9 +24,7 @@
     aRules.mByClass
       ? static_cast<std::uint32_t>(tables::ShedOrder(aContext.mClass))
       : 0;
-  bool const passed = aRules.mByHop && aContext.mDepth > 0;
-  return level * kLevelPositions + (passed ? kCallerGroups : 0) +
-         CallerGroup(aContext, aRules);
+  return level * kCallerGroups + CallerGroup(aContext, aRules);
 }
 
 }
--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -31,7 +31,7 @@
   policy.mController.mAdaptiveLimit = false;
   policy.mController.mThreshold = false;
   policy.mController.mQueueDeadline = false;
-  policy.mController.mOrder = { false, false, false };
+  policy.mController.mOrder = { false, false };
   policy.mSelection.mSenderThreshold = false;
   return policy;
 }
@@ -62,10 +62,6 @@
       [](policy& aPolicy) {
         SetOrder(aPolicy, &traffic::shed_rules::mByClass);
       } },
-    { "hop_priority",
-      [](policy& aPolicy) {
-        SetOrder(aPolicy, &traffic::shed_rules::mByHop);
-      } },
     { "caller_hash",
       [](policy& aPolicy) {
         SetOrder(aPolicy, &traffic::shed_rules::mByCaller);
