--- a/Utilities/RandomRun/Overload.cpp
+++ b/Utilities/RandomRun/Overload.cpp
@@ -20,6 +20,8 @@
 DEFINE_string(slowdown,
               "cores",
               "overload: cores (calls compete) or work (each takes longer).");
+DEFINE_uint64(try_timeout_ms, 2000, "overload: what callers give one try.");
+DEFINE_uint64(lost_percent, 0, "overload: lost responses of the deep service.");
 DEFINE_uint64(surge_seconds, 60, "overload: virtual seconds of the surge.");
 
 namespace cranberryfold::random_run {
@@ -64,6 +66,8 @@
     return std::nullopt;
   }
   overload_setup setup{ *shape, *policy };
+  setup.mShape.mTryTimeout = std::chrono::milliseconds(FLAGS_try_timeout_ms);
+  setup.mShape.mLostShare = static_cast<double>(FLAGS_lost_percent) / 100;
   if (!ReadObjective(setup.mShape)) {
     return std::nullopt;
   }
--- a/Utilities/RandomRun/OverloadCallers.cpp
+++ b/Utilities/RandomRun/OverloadCallers.cpp
@@ -11,7 +11,6 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr core::duration kClientLatency{ 8'000 };
-constexpr core::duration kTryTimeout{ 2'000'000 };
 constexpr std::uint32_t kMostTries = 5;
 constexpr core::duration kShortestPause{ 150'000 };
 constexpr core::duration kPauseSpread{ 300'000 };
@@ -100,7 +99,7 @@
     call.mIdempotent = aRequest.mShape->mIdempotent;
     call.mContext = { id,
                       mMesh.PeerAddress(aRequest.mRoot),
-                      aTime + kTryTimeout,
+                      aTime + mShape.mTryTimeout,
                       aRequest.mShape->mClass,
                       aRequest.mCallerHash,
                       0,
--- a/Utilities/RandomRun/OverloadServer.cpp
+++ b/Utilities/RandomRun/OverloadServer.cpp
@@ -170,6 +170,12 @@
     HandleAdmission(
       aNow, index, traffic::call_finished{ { aAttempt }, aSuccess, latency });
   }
+  if (mNodes.at(index)->mService == mShape.DeepService() &&
+      mRandom.Chance(mShape.mLostShare)) {
+    Respond(
+      aNow, aAttempt, { outcome::kUnknown, refusal_reason::kPeerLost, false });
+    return;
+  }
   Respond(aNow, aAttempt, { outcome::kRan, std::nullopt, aSuccess });
 }
 
--- a/Utilities/RandomRun/OverloadShape.h
+++ b/Utilities/RandomRun/OverloadShape.h
@@ -41,6 +41,10 @@
   tables::pool_objective mObjective = tables::pool_objective::kGoodput;
   /// Customer requests per second before the surge.
   double mRate = 1000;
+  /// Time that a caller gives one try.
+  core::duration mTryTimeout{ 2'000'000 };
+  /// Part of the runs at the deep service whose response is lost, from 0 to 1.
+  double mLostShare = 0;
 
   std::size_t DeepService() const { return mServices.size() - 1; }
 };
