--- a/Utilities/RandomRun/Overload.cpp
+++ b/Utilities/RandomRun/Overload.cpp
@@ -71,8 +71,7 @@
   if (!ReadObjective(setup.mShape)) {
     return std::nullopt;
   }
-  if (!aOptions.mWithout.empty() &&
-      !SwitchOff(setup.mPolicy, aOptions.mWithout)) {
+  if (!SwitchOff(setup.mPolicy, aOptions.mWithout)) {
     return std::nullopt;
   }
   if (FLAGS_slowdown == "work") {
--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -1,5 +1,6 @@
 #include "OverloadPolicy.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -104,13 +105,17 @@
 }
 
 bool
-SwitchOff(overload_policy& aPolicy, std::string_view aMechanism)
+SwitchOff(overload_policy& aPolicy, std::string_view aMechanisms)
 {
-  auto const found = Switches().find(aMechanism);
-  if (found == Switches().end()) {
-    return false;
+  while (!aMechanisms.empty()) {
+    auto const end = std::min(aMechanisms.find(','), aMechanisms.size());
+    auto const found = Switches().find(aMechanisms.substr(0, end));
+    if (found == Switches().end()) {
+      return false;
+    }
+    found->second(aPolicy);
+    aMechanisms.remove_prefix(std::min(end + 1, aMechanisms.size()));
   }
-  found->second(aPolicy);
   return true;
 }
 
--- a/Utilities/RandomRun/OverloadPolicy.h
+++ b/Utilities/RandomRun/OverloadPolicy.h
@@ -33,9 +33,9 @@
 std::optional<overload_policy>
 BaselinePolicy(std::string_view aName);
 
-/// Switches one mechanism off; false for an unknown name.
+/// Switches off mechanisms, separated by commas; false for an unknown name.
 bool
-SwitchOff(overload_policy& aPolicy, std::string_view aMechanism);
+SwitchOff(overload_policy& aPolicy, std::string_view aMechanisms);
 
 /// Returns the names that SwitchOff() knows, separated by spaces.
 std::string
