--- /dev/null
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -0,0 +1,135 @@
+#include "LibTraffic/RetryBudget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+
+using namespace cranberryfold;
+using namespace cranberryfold::traffic;
+using core::refusal_reason;
+using core::retry_reason;
+
+namespace {
+
+constexpr core::time_point kStart{ std::chrono::seconds(100) };
+constexpr core::time_point kExpiry = kStart + std::chrono::seconds(5);
+core::request_id const kRequest{ "r1" };
+
+/// Calls a tree in which each call fails after its children have run, and
+/// retries as long as the root grants permits. Returns the runs.
+std::uint64_t
+RunTree(retry_budget& aBudget, std::uint32_t aDepth, std::uint32_t aFanOut)
+{
+  std::uint64_t runs = 0;
+  do {
+    ++runs;
+    for (std::uint32_t child = 0; aDepth > 1 && child < aFanOut; ++child) {
+      runs += RunTree(aBudget, aDepth - 1, aFanOut);
+    }
+  } while (aBudget.RequestPermit(kStart, kRequest));
+  return runs;
+}
+
+retry_facts
+Facts(outcome aOutcome, bool aIdempotent)
+{
+  retry_facts facts;
+  facts.mOutcome = aOutcome;
+  facts.mIdempotent = aIdempotent;
+  facts.mTimeLeft = std::chrono::seconds(2);
+  return facts;
+}
+
+std::optional<retry_decision>
+Decide(retry_facts const& aFacts)
+{
+  retry_ratio ratio(10);
+  core::random_source random(3);
+  return DecideRetry(aFacts, ratio, random);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(RetryBudget)
+
+// Guards against retries that multiply from hop to hop.
+BOOST_AUTO_TEST_CASE(RunsOfAChainAndATreeStayWithinTheBound)
+{
+  for (std::uint32_t const fanOut : { 1U, 2U, 3U }) {
+    std::uint64_t calls = 0;
+    std::uint64_t width = 1;
+    for (int depth = 0; depth < 6; ++depth) {
+      calls += width;
+      width *= fanOut;
+    }
+    retry_budget budget;
+    budget.Open(kStart, kRequest, 3, kExpiry);
+    auto const runs = RunTree(budget, 6, fanOut);
+    BOOST_TEST(runs > calls);
+    BOOST_TEST(runs <= MostUpstreamRuns(calls, 3));
+  }
+  static_assert(MostUpstreamRuns(6, 3) == 24);
+}
+
+// Guards against permits from a root that knows nothing about the request.
+BOOST_AUTO_TEST_CASE(UnknownClosedAndExpiredRequestsGetNoPermit)
+{
+  retry_budget budget;
+  BOOST_TEST(!budget.RequestPermit(kStart, kRequest));
+  budget.Open(kStart, kRequest, 3, kExpiry);
+  budget.Close(kRequest);
+  BOOST_TEST(!budget.RequestPermit(kStart, kRequest));
+  budget.Open(kStart, kRequest, 1, kExpiry);
+  budget.Open(kStart, kRequest, 9, kExpiry);
+  BOOST_TEST(budget.RequestPermit(kStart, kRequest));
+  BOOST_TEST(!budget.RequestPermit(kStart, kRequest));
+  budget.Open(kStart, { "r2" }, 3, kExpiry);
+  BOOST_TEST(!budget.RequestPermit(kExpiry, { "r2" }));
+  BOOST_TEST(budget.Size() == 0U);
+}
+
+// Guards against a second run of work that must happen once.
+BOOST_AUTO_TEST_CASE(OnlySafeWorkIsRetried)
+{
+  BOOST_TEST(!Decide(Facts(outcome::kRan, true)).has_value());
+  auto const unsafe = Decide(Facts(outcome::kUnknown, false));
+  BOOST_TEST((unsafe->mReason == retry_reason::kRefusedNotSafe));
+  BOOST_TEST(!unsafe->mBackoff.has_value());
+  auto const lost = Decide(Facts(outcome::kUnknown, true));
+  BOOST_TEST((lost->mReason == retry_reason::kIdempotentLost));
+  auto const refused = Decide(Facts(outcome::kNotRun, false));
+  BOOST_TEST((refused->mReason == retry_reason::kNotRun));
+  BOOST_TEST(refused->mBackoff.has_value());
+}
+
+// Guards against retries that cannot end in time or are refused again.
+BOOST_AUTO_TEST_CASE(PointlessRetriesAreNotMade)
+{
+  auto facts = Facts(outcome::kNotRun, true);
+  facts.mUsualLatency = facts.mTimeLeft;
+  BOOST_TEST((Decide(facts)->mReason == retry_reason::kRefusedDeadline));
+  facts.mUsualLatency = {};
+  facts.mRefusal = refusal_reason::kSenderCutOff;
+  BOOST_TEST(!Decide(facts).has_value());
+}
+
+// Guards against a daemon that adds to an overload by retrying all failures.
+BOOST_AUTO_TEST_CASE(RatioBoundsTheRetriesOfADaemon)
+{
+  retry_ratio ratio(10);
+  while (ratio.Take()) {
+  }
+  for (int success = 0; success < 100; ++success) {
+    ratio.CountSuccess();
+  }
+  int taken = 0;
+  while (ratio.Take()) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 10);
+  retry_ratio none(0);
+  none.CountSuccess();
+  BOOST_TEST(!none.Take());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -0,0 +1,203 @@
+#include "LibTraffic/UpstreamSelection.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace cranberryfold;
+using namespace cranberryfold::traffic;
+using core::refusal_reason;
+
+namespace {
+
+constexpr core::time_point kStart{ std::chrono::seconds(100) };
+
+struct fixture
+{
+  fixture()
+    : mRandom(7)
+    , mSelector({ { "z0" }, { "r0" } }, mRandom)
+  {
+    mCandidates = { Candidate("near", "z0", "r0"),
+                    Candidate("middle", "z1", "r0"),
+                    Candidate("far", "z2", "r1") };
+    mSelector.Configure(mPool, mCandidates);
+  }
+
+  static candidate Candidate(std::string aName,
+                             std::string aZone,
+                             std::string aRegion)
+  {
+    return { { std::move(aName) },
+             { 1 },
+             { std::move(aZone) },
+             { std::move(aRegion) },
+             { "10.0.0.1", 7000 },
+             10,
+             false };
+  }
+
+  std::string Select(std::vector<core::instance_id> const& aTried = {})
+  {
+    auto const selected = mSelector.Select(mNow, mContext, aTried);
+    if (auto const* const refusal = std::get_if<local_refusal>(&selected)) {
+      return std::string(core::ReasonName(refusal->mReason));
+    }
+    return std::get<chosen_upstream>(selected).mInstance.mValue;
+  }
+
+  void Report(std::string const& aName,
+              outcome aOutcome,
+              std::optional<refusal_reason> aReason = {},
+              std::optional<load_stamp> aStamp = {})
+  {
+    mSelector.Report(mNow,
+                     { { aName },
+                       aOutcome,
+                       aReason,
+                       std::chrono::milliseconds(5),
+                       aStamp,
+                       1000 });
+  }
+
+  /// Selects the upstream and reports the end of the attempt.
+  void Try(std::string const& aName,
+           outcome aOutcome,
+           std::optional<refusal_reason> aReason = {},
+           std::optional<load_stamp> aStamp = {})
+  {
+    std::vector<core::instance_id> others;
+    for (auto const& entry : mCandidates) {
+      if (entry.mInstance.mValue != aName) {
+        others.push_back(entry.mInstance);
+      }
+    }
+    BOOST_TEST_REQUIRE(Select(others) == aName);
+    Report(aName, aOutcome, aReason, aStamp);
+  }
+
+  core::random_source mRandom;
+  upstream_selector mSelector;
+  tables::pool mPool;
+  std::vector<candidate> mCandidates;
+  call_context mContext;
+  core::time_point mNow = kStart;
+};
+
+load_stamp
+ClosedStamp()
+{
+  return { 1, 10, kShedPositions, false };
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(UpstreamSelection)
+
+// Guards against billed traffic between regions while near upstreams work.
+BOOST_AUTO_TEST_CASE(NearestIsChosenAndFarBytesAreCounted)
+{
+  fixture run;
+  for (int count = 0; count < 20; ++count) {
+    BOOST_TEST(run.Select() == "near");
+    run.Report("near", outcome::kRan);
+  }
+  BOOST_TEST(run.mSelector.InterRegionBytes() == 0U);
+  run.Try("far", outcome::kRan);
+  BOOST_TEST(run.mSelector.InterRegionBytes() == 1000U);
+  BOOST_TEST(run.mSelector.InFlight() == 0U);
+}
+
+// Guards against calls that are stuck with a failed or refusing neighbour.
+BOOST_AUTO_TEST_CASE(FailuresAndRefusalsSpillOver)
+{
+  fixture run;
+  run.Try("near", outcome::kUnknown, refusal_reason::kPeerLost);
+  BOOST_TEST(run.Select() == "middle");
+  run.Report(
+    "middle", outcome::kNotRun, refusal_reason::kCutOff, ClosedStamp());
+  BOOST_TEST(run.Select() == "far");
+  run.mNow += std::chrono::seconds(3);
+  BOOST_TEST(run.Select() == "near");
+}
+
+// Guards against leaving the scope that the pool row sets.
+BOOST_AUTO_TEST_CASE(SpillScopeIsKept)
+{
+  fixture run;
+  run.mPool.mSpill = tables::spill_scope::kZone;
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  BOOST_TEST(run.Select({ { "near" } }) == "no_upstream");
+}
+
+// Guards against sending what will be refused, and against never noticing
+// that the overload is over.
+BOOST_AUTO_TEST_CASE(StampsRefuseLocallyUntilTheyExpire)
+{
+  fixture run;
+  for (auto const* const name : { "near", "middle", "far" }) {
+    run.Try(name, outcome::kRan, {}, ClosedStamp());
+  }
+  BOOST_TEST(run.mSelector.WouldRefuse(run.mNow, run.mContext));
+  BOOST_TEST(run.Select() == "sender_cut_off");
+  run.mNow += std::chrono::seconds(3);
+  BOOST_TEST(!run.mSelector.WouldRefuse(run.mNow, run.mContext));
+  BOOST_TEST(run.Select() == "near");
+}
+
+// Guards against new work at an upstream that is leaving, also when the
+// announcement has not arrived yet, and after a restart under the same name.
+BOOST_AUTO_TEST_CASE(DrainingUpstreamsAreNeverChosen)
+{
+  fixture run;
+  run.Try("near", outcome::kRan, {}, load_stamp{ 0, 10, 0, true });
+  BOOST_TEST(run.Select() == "middle");
+  run.mCandidates.front().mIncarnation = { 2 };
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  BOOST_TEST(run.Select() == "near");
+  run.mCandidates.front().mDraining = true;
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  BOOST_TEST(run.Select() == "middle");
+}
+
+// Guards against an empty pool when everything seems to have failed.
+BOOST_AUTO_TEST_CASE(PanicDistributesOverAllUpstreams)
+{
+  fixture run;
+  for (auto const* const name : { "near", "middle", "far" }) {
+    run.Try(name, outcome::kUnknown, refusal_reason::kConnectFailed);
+  }
+  BOOST_TEST(run.Select() == "near");
+}
+
+// Guards against herding: the busier of two upstreams gets less.
+BOOST_AUTO_TEST_CASE(BusyUpstreamsGetFewerCalls)
+{
+  fixture run;
+  run.mCandidates = { fixture::Candidate("a", "z0", "r0"),
+                      fixture::Candidate("b", "z0", "r0") };
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  run.Try("a", outcome::kRan, {}, load_stamp{ 9, 10, 0, false });
+  run.Try("b", outcome::kRan, {}, load_stamp{ 0, 10, 0, false });
+  int chosen = 0;
+  for (int count = 0; count < 100; ++count) {
+    auto const name = run.Select();
+    chosen += name == "b" ? 1 : 0;
+    run.Report(name, outcome::kRan);
+  }
+  BOOST_TEST(chosen > 60);
+}
+
+// Guards against a report that is lost when its upstream leaves the pool.
+BOOST_AUTO_TEST_CASE(ReportsOfFormerMembersAreTaken)
+{
+  fixture run;
+  BOOST_TEST(run.Select() == "near");
+  run.mCandidates.erase(run.mCandidates.begin());
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  BOOST_TEST(run.mSelector.InFlight() == 1U);
+  run.Report("near", outcome::kRan);
+  BOOST_TEST(run.mSelector.InFlight() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
