LibCore: Silence a false report of clang-tidy 14 on comparisons

Comparisons of ids that are rewritten from a defaulted operator<=> are reported as modernize-use-nullptr where they are used in other libraries.

--- a/Libraries/LibCore/Ids.h
+++ b/Libraries/LibCore/Ids.h
@@ -14,6 +14,9 @@
 {
   std::string mValue;
 
+  // clang-tidy 14 takes comparisons made from a defaulted operator<=> for uses
+  // of a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(text_id const&) const = default;
   bool IsEmpty() const { return mValue.empty(); }
 };
@@ -24,6 +27,7 @@
 {
   std::uint64_t mValue = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(number_id const&) const = default;
 };
 
