--- a/Libraries/LibTraffic/ClaimCoordinator.cpp
+++ b/Libraries/LibTraffic/ClaimCoordinator.cpp
@@ -54,6 +54,13 @@
 void
 claim_coordinator::On(core::time_point aNow, claim_wanted const& aEvent)
 {
+  if (aEvent.mKey.empty() || aEvent.mKey.size() > kMaximumKeyBytes) {
+    mActions.emplace_back(claim_answered{ aEvent.mRequest,
+                                          claim_answer::kNotRun,
+                                          core::refusal_reason::kBadRequest,
+                                          "" });
+    return;
+  }
   auto const [entry, isNew] = mClaims.try_emplace(aEvent.mRequest);
   CF_ASSERT(isNew, "two open claims with one request number");
   entry->second.mKey = aEvent.mKey;
--- a/Libraries/LibTraffic/ClaimHolder.cpp
+++ b/Libraries/LibTraffic/ClaimHolder.cpp
@@ -141,6 +141,9 @@
 void
 claim_holder::Receive(core::time_point aNow, claim_request const& aRequest)
 {
+  if (aRequest.mKey.size() > kMaximumKeyBytes) {
+    return;
+  }
   auto const* known = mStore.Find(aNow, aRequest.mShard, aRequest.mKey);
   // The end of a request is true in every group.
   if (known != nullptr && (known->mRecord.mState == claim_state::kCompleted ||
@@ -215,6 +218,9 @@
 void
 claim_holder::Receive(core::time_point aNow, claim_update const& aUpdate)
 {
+  if (aUpdate.mKey.size() > kMaximumKeyBytes) {
+    return;
+  }
   auto const* known = mStore.Find(aNow, aUpdate.mShard, aUpdate.mKey);
   auto claim = known == nullptr ? stored_claim{} : *known;
   auto& record = claim.mRecord;
--- a/Libraries/LibTraffic/ClaimMap.h
+++ b/Libraries/LibTraffic/ClaimMap.h
@@ -23,6 +23,7 @@
   core::instance_id mInstance;
   core::incarnation mIncarnation;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see LibCore/Ids.h
   auto operator<=>(holder_id const&) const = default;
 };
 
@@ -54,6 +55,7 @@
   core::zone_id mZone;
   std::uint32_t mIndex = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see LibCore/Ids.h
   auto operator<=>(shard_id const&) const = default;
 };
 
@@ -92,6 +94,7 @@
   core::zone_id mZone;
   holder_id mHolder;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see LibCore/Ids.h
   auto operator<=>(claim_member const&) const = default;
 };
 
--- a/Libraries/LibTraffic/ClaimMessages.h
+++ b/Libraries/LibTraffic/ClaimMessages.h
@@ -26,6 +26,7 @@
   holder_id mCoordinator;
   std::uint64_t mSequence = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see LibCore/Ids.h
   auto operator<=>(attempt_id const&) const = default;
 };
 
--- a/Libraries/LibTraffic/QuarantineMessages.h
+++ b/Libraries/LibTraffic/QuarantineMessages.h
@@ -24,6 +24,7 @@
   holder_id mDaemon;
   std::uint64_t mSequence = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see LibCore/Ids.h
   auto operator<=>(crash_id const&) const = default;
 };
 
--- a/Tests/LibTraffic/TestClaimCoordinator.cpp
+++ b/Tests/LibTraffic/TestClaimCoordinator.cpp
@@ -208,6 +208,16 @@
                .empty());
 }
 
+// Guards against a caller that fills the memory of holders with long keys.
+BOOST_AUTO_TEST_CASE(RefusesAKeyThatIsTooLong)
+{
+  auto const answers = Pick<claim_answered>(mCoordinator.Handle(
+    At(1),
+    claim_wanted{ 2, std::string(kMaximumKeyBytes + 1, 'k'), At(2500) }));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].mReason == core::refusal_reason::kBadRequest));
+}
+
 // Guards against refusals while the new map is on its way to the coordinator:
 // 14 of 401 orders in the trace rolling_replacement were refused.
 BOOST_AUTO_TEST_CASE(TakesTheNewerGroupFromAHolder)
