Utilities/LoadTool, Utilities/Client: Fix the backoff and the progress line

The backoff did not compile: a duration has no shift. Progress is a plain line every five seconds, so that it does not mix with the answer on a terminal.

--- a/Utilities/Client/Commands.cpp
+++ b/Utilities/Client/Commands.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::seconds kProgressDelay{ 2 };
+constexpr std::chrono::seconds kProgressInterval{ 5 };
 
 struct progress
 {
@@ -98,7 +99,7 @@
   aContext.stop();
 }
 
-/// Rewrites one line on the terminal while an answer is awaited.
+/// Prints a line from time to time while an answer is awaited.
 asio::awaitable<void>
 ShowProgress(asio::io_context& aContext,
              progress const& aProgress,
@@ -110,9 +111,10 @@
   for (;;) {
     auto const waited = std::chrono::duration_cast<std::chrono::seconds>(
       std::chrono::steady_clock::now() - aProgress.mStart);
-    aNotes << "\rwaiting for " << core::FormatAddress(aProgress.mPeer) << ", "
-           << waited.count() << " s " << std::flush;
-    timer.expires_after(std::chrono::seconds(1));
+    aNotes << "waiting for " << core::FormatAddress(aProgress.mPeer) << ", "
+           << waited.count() << " s\n"
+           << std::flush;
+    timer.expires_after(kProgressInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/Utilities/LoadTool/Runner.cpp
+++ b/Utilities/LoadTool/Runner.cpp
@@ -67,8 +67,9 @@
 std::chrono::microseconds
 load_runner::Backoff(std::uint32_t aTry)
 {
-  auto const doubled = std::chrono::milliseconds(mSettings.mBackoffMilliseconds)
-                       << std::min(aTry, 10U);
+  auto const doubled =
+    std::chrono::milliseconds(mSettings.mBackoffMilliseconds) *
+    (1U << std::min(aTry, 10U));
   // Half of it is random, so that callers do not retry in step.
   auto const share = 0.5 + mRandom.Fraction();
   return std::chrono::microseconds(
