Tests, Utilities/LoadTool: Wait for the start before closing; readable report

The cancellation test closed its connection right after sending. It now waits for the start line first, so that it checks a cancellation in the midst of the work.

--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -217,11 +217,17 @@
   return RunToEnd(context, ExchangePattern(aPeer, aHead, aSize));
 }
 
-void
-SendBytes(core::address const& aPeer, std::string const& aBytes)
+struct raw_connection::state
 {
-  asio::io_context context(1);
-  asio::ip::tcp::socket socket(context);
+  asio::io_context mContext{ 1 };
+  asio::ip::tcp::socket mSocket{ mContext };
+};
+
+raw_connection::raw_connection(core::address const& aPeer,
+                               std::string const& aBytes)
+  : mState(std::make_unique<state>())
+{
+  auto& socket = mState->mSocket;
   boost::system::error_code code;
   socket.connect({ asio::ip::make_address(aPeer.mHost), aPeer.mPort }, code);
   if (!code) {
@@ -229,6 +235,14 @@
   }
 }
 
+raw_connection::~raw_connection() = default;
+
+void
+SendBytes(core::address const& aPeer, std::string const& aBytes)
+{
+  raw_connection const connection(aPeer, aBytes);
+}
+
 std::vector<std::uint16_t>
 FreePorts(std::size_t aCount)
 {
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -80,6 +81,21 @@
             http::request_head const& aHead,
             std::uint64_t aSize);
 
+/// A TCP connection that is closed at the end of its life.
+class raw_connection
+{
+public:
+  /// Connects and writes aBytes; errors are ignored.
+  raw_connection(core::address const& aPeer, std::string const& aBytes);
+  ~raw_connection();
+  raw_connection(raw_connection const&) = delete;
+  raw_connection& operator=(raw_connection const&) = delete;
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
 /// Writes bytes to a TCP port and closes the connection.
 void
 SendBytes(core::address const& aPeer, std::string const& aBytes);
--- a/Tests/Utilities/TestStandIn.cpp
+++ b/Tests/Utilities/TestStandIn.cpp
@@ -94,8 +94,11 @@
 BOOST_AUTO_TEST_CASE(ClosedConnectionCancelsTheWork)
 {
   auto const address = Start({ "--service_time_ms=3600000" });
-  // SendBytes() closes right after sending, as a daemon that gives up does.
-  SendBytes(address, "GET /x HTTP/1.1\r\nhost: x\r\n\r\n");
+  {
+    raw_connection const connection(address,
+                                    "GET /x HTTP/1.1\r\nhost: x\r\n\r\n");
+    BOOST_TEST(WaitForJournal("event=start"));
+  }
   BOOST_TEST(WaitForJournal("outcome=cancelled"));
 }
 
--- a/Utilities/LoadTool/Output.cpp
+++ b/Utilities/LoadTool/Output.cpp
@@ -1,5 +1,7 @@
 #include "Output.h"
 
+#include <array>
+#include <cstdio>
 #include <ostream>
 
 #include <boost/json/array.hpp>
@@ -20,6 +22,26 @@
   return counts;
 }
 
+/// Boost.JSON writes 12.5 as 1.25E1, which is hard to read in a report.
+std::string
+ReadableText(boost::json::value const& aValue)
+{
+  if (aValue.is_double()) {
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", aValue.get_double());
+    return text.data();
+  }
+  if (!aValue.is_object()) {
+    return boost::json::serialize(aValue);
+  }
+  std::string text;
+  for (auto const& [key, value] : aValue.get_object()) {
+    text +=
+      (text.empty() ? "" : ", ") + std::string(key) + " " + ReadableText(value);
+  }
+  return text.empty() ? "-" : text;
+}
+
 boost::json::object
 ClassJson(load_class const& aClass,
           class_report const& aReport,
@@ -83,13 +105,13 @@
 {
   for (auto const& [key, value] : aReport.get_object()) {
     if (key != "classes") {
-      aOut << key << ": " << boost::json::serialize(value) << "\n";
+      aOut << key << ": " << ReadableText(value) << "\n";
     }
   }
   for (auto const& row : aReport.at("classes").get_array()) {
     for (auto const& [key, value] : row.get_object()) {
-      aOut << (key == "class" ? "" : "  ") << key << ": "
-           << boost::json::serialize(value) << "\n";
+      aOut << (key == "class" ? "" : "  ") << key << ": " << ReadableText(value)
+           << "\n";
     }
   }
 }
