--- a/Utilities/RandomRun/TrafficWorld.h
+++ b/Utilities/RandomRun/TrafficWorld.h
@@ -235,7 +235,7 @@
                      traffic::claim_coordinator_event const& aEvent);
   void SendClaim(std::size_t aDaemon, traffic::send_claim_message const& aSend);
   void TakeDatagram(std::size_t aFrom, std::size_t aTo, datagram const& aBytes);
-  void InstallMap(std::size_t aDaemon);
+  void InstallMap(std::size_t aDaemon, traffic::claim_epoch aEpoch);
   void RebuildMap();
   void ShardActivated(std::size_t aDaemon,
                       traffic::shard_activated const& aAction);
@@ -266,7 +266,7 @@
   void ToQuarantine(std::size_t aDaemon,
                     traffic::quarantine_event const& aEvent);
   void Apply(std::size_t aDaemon, traffic::run_call const& aAction);
-  void Apply(std::size_t aDaemon, traffic::refuse_call const& aAction);
+  void Apply(std::size_t aDaemon, traffic::refuse_suspect const& aAction);
   void Apply(std::size_t aDaemon, traffic::failure_released const& aAction);
   void Apply(std::size_t aDaemon,
              traffic::send_quarantine_message const& aAction);
