LibMembership: Ask for whole tables when a delta does not apply

Cause: with two daemons, the second stayed at revision 1 for good after the claim map was committed as revision 2. The leader computed the delta with a comparison that left the claim map out, so the delta led to other content; the receiver refused it, as it should, and asked for the same deltas again. Ruled out: lost streams and frame limits, by a trace of system calls. Change: the comparison covers the claim map, and a request after a delta that did not apply asks for whole tables. A unit test covers it; before, it saw the same request without end.

--- a/Libraries/LibDaemon/AdminEdits.cpp
+++ b/Libraries/LibDaemon/AdminEdits.cpp
@@ -129,6 +129,8 @@
   BOOST_LEAF_CHECK(reader.Finish());
   if (hasTables) {
     BOOST_LEAF_CHECK(tables::CheckTables(wanted));
+    // Operators do not write the claim map.
+    wanted.mClaimMap = aCurrent.mClaimMap;
     auto const changes = tables::CompareTables(aCurrent, wanted);
     edit.mChanges.insert(edit.mChanges.end(), changes.begin(), changes.end());
   }
--- a/Libraries/LibMembership/Codec.cpp
+++ b/Libraries/LibMembership/Codec.cpp
@@ -163,7 +163,7 @@
 void
 serialize(Archive& aArchive, configuration_request& aValue)
 {
-  aArchive(aValue.mRevision);
+  aArchive(aValue.mRevision, aValue.mWhole);
 }
 
 template<class Archive>
--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -129,6 +129,8 @@
     CheckSameContent(delta.mRevision, delta.mHash);
     bool const isNext = delta.mRevision.mValue == mRevision.mValue + 1;
     if (isNext && !ApplyDelta(delta)) {
+      // The same deltas would fail again, so the next request asks for all.
+      mNeedsSnapshot = true;
       break;
     }
   }
@@ -159,7 +161,12 @@
 configuration_distributor::On(contact const& aFrom,
                               configuration_request const& aMessage)
 {
-  if (aMessage.mRevision < mRevision) {
+  if (aMessage.mRevision >= mRevision) {
+    return;
+  }
+  if (aMessage.mWhole) {
+    Send(aFrom.mAddress, Snapshot());
+  } else {
     Send(aFrom.mAddress, Everything(aMessage.mRevision));
   }
 }
@@ -203,6 +210,7 @@
   mRevision = aRevision;
   mHash = aHash;
   mTables = std::move(aTables);
+  mNeedsSnapshot = false;
   mActions.emplace_back(tables_installed{ mRevision, mHash, mTables });
 }
 
@@ -257,7 +265,13 @@
   if (HasDeltasAfter(aAfter)) {
     return configuration_deltas{ DeltasAfter(aAfter), {} };
   }
-  return configuration_snapshot{ mRevision, mHash, *mTables, {} };
+  return Snapshot();
+}
+
+configuration_snapshot
+configuration_distributor::Snapshot() const
+{
+  return { mRevision, mHash, *mTables, {} };
 }
 
 void
@@ -288,7 +302,7 @@
     return;
   }
   mRequestExpires = mNow + kRequestTimeout;
-  Send(aPeer.mAddress, configuration_request{ mRevision });
+  Send(aPeer.mAddress, configuration_request{ mRevision, mNeedsSnapshot });
 }
 
 void
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -108,6 +108,7 @@
   void Send(core::address const& aTo, configuration_message aMessage);
   template<class Message>
   void SendDown(Message aMessage, tree_range const& aRange);
+  configuration_snapshot Snapshot() const;
   configuration_digest OwnDigest(bool aWantsAnswer) const;
   bool IsRelay() const;
 
@@ -121,6 +122,8 @@
   peer_set mPeers;
   core::revision mHighestHeard;
   bool mHeardPeer = false;
+  /// A delta to the next revision did not lead to the announced content.
+  bool mNeedsSnapshot = false;
   core::time_point mNow;
   core::time_point mRequestExpires;
   std::optional<core::time_point> mNextCompare;
--- a/Libraries/LibMembership/Messages.h
+++ b/Libraries/LibMembership/Messages.h
@@ -179,6 +179,8 @@
 struct configuration_request
 {
   core::revision mRevision;
+  /// Asks for whole tables, since a delta did not apply.
+  bool mWhole = false;
 
   bool operator==(configuration_request const&) const = default;
 };
--- a/Libraries/LibTables/TableRules.cpp
+++ b/Libraries/LibTables/TableRules.cpp
@@ -460,6 +460,9 @@
       changes.emplace_back(remove_pool{ name });
     }
   }
+  if (aFrom.mClaimMap != aTo.mClaimMap) {
+    changes.emplace_back(put_claim_map{ aTo.mClaimMap });
+  }
   return changes;
 }
 
--- a/Libraries/LibTables/TableRules.h
+++ b/Libraries/LibTables/TableRules.h
@@ -42,8 +42,7 @@
 core::result<void>
 CheckTables(table_set const& aTables);
 
-/// Returns the changes that lead from aFrom to aTo. The claim map is left
-/// alone, since operators do not write it.
+/// Returns the changes that lead from aFrom to aTo.
 std::vector<change>
 CompareTables(table_set const& aFrom, table_set const& aTo);
 
--- a/Tests/LibMembership/TestConfigurationDistributor.cpp
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -151,4 +151,25 @@
   BOOST_TEST(FirstSent<configuration_snapshot>(actions).has_value());
 }
 
+// Guards against asking for the same deltas for ever when they do not lead to
+// the announced content, as between builds with different rules.
+BOOST_AUTO_TEST_CASE(DeltaThatDoesNotApplyLeadsToASnapshot)
+{
+  auto leader = Distributor("leader");
+  leader.Handle(kStart, Commit(1));
+  configuration_deltas broken{
+    { { { 1 }, tables::ContentHash(Tables(1)), {} } }, {}
+  };
+  auto distributor = Distributor();
+  auto const request = FirstSent<configuration_request>(
+    distributor.Handle(kStart, From("leader", broken)));
+  BOOST_REQUIRE(request);
+  BOOST_TEST(request->mWhole);
+  auto const whole = FirstSent<configuration_snapshot>(
+    leader.Handle(kStart, From("self", *request)));
+  BOOST_REQUIRE(whole);
+  distributor.Handle(kStart, From("leader", *whole));
+  BOOST_TEST(distributor.Revision().mValue == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
