Tests/RandomRun: Restart from real files in a test

Cause: the restart from real files was measured by hand only. Measured: the test restarts after 300 edits and finds revision 300; 9 cases of TestRandomRun pass. Conclusion: a restart that misses the last edits now fails the tests.

--- a/Tests/RandomRun/TestControlRun.cpp
+++ b/Tests/RandomRun/TestControlRun.cpp
@@ -15,14 +15,14 @@
   std::string mOutput;
 };
 
-/// Runs `random_run control` from the folder of the built programs.
+/// Runs `random_run` from the folder of the built programs.
 run_outcome
-RunControl(std::string const& aArguments)
+RunProgram(std::string const& aArguments)
 {
   char const* const folder = std::getenv("CRANBERRYFOLD_BIN");
-  BOOST_REQUIRE_MESSAGE(folder != nullptr, "CRANBERRYFOLD_BIN is not set");
-  auto const command =
-    std::string(folder) + "/random_run control " + aArguments + " 2>&1";
+  std::string const path = folder == nullptr ? "" : folder;
+  BOOST_REQUIRE_MESSAGE(!path.empty(), "CRANBERRYFOLD_BIN is not set");
+  auto const command = path + "/random_run " + aArguments + " 2>&1";
   auto* const pipe = ::popen(command.c_str(), "r");
   BOOST_REQUIRE(pipe != nullptr);
   run_outcome outcome;
@@ -35,6 +35,12 @@
   return outcome;
 }
 
+run_outcome
+RunControl(std::string const& aArguments)
+{
+  return RunProgram("control " + aArguments);
+}
+
 /// Checks that the run fails without the mechanism and passes with it.
 void
 CheckMechanism(std::string const& aName,
@@ -75,6 +81,15 @@
   BOOST_TEST(RunControl("--without gravity").mExitCode == 2);
 }
 
+// Guards against a restart from real files that misses the last edits.
+BOOST_AUTO_TEST_CASE(RestartFromFilesRecoversTheLatestRevision)
+{
+  auto const outcome = RunProgram("control_restart --steps 300");
+  BOOST_TEST(outcome.mExitCode == 0, outcome.mOutput);
+  BOOST_TEST(outcome.mOutput.find("revision=300 ") != std::string::npos,
+             outcome.mOutput);
+}
+
 BOOST_AUTO_TEST_CASE(IncarnationFenceIsNeeded)
 {
   CheckMechanism("incarnation_fence", "1", "which is not admitted");
