--- a/Libraries/LibCore/Ids.h
+++ b/Libraries/LibCore/Ids.h
@@ -14,6 +14,8 @@
 {
   std::string mValue;
 
+  // The check takes the zero of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(text_id const&) const = default;
   bool IsEmpty() const { return mValue.empty(); }
 };
