--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -6,8 +6,6 @@
 
 namespace cranberryfold::random_run {
 
-using traffic::outcome;
-
 namespace {
 
 constexpr core::duration kTickInterval{ 10'000 };
