--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Assert.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberryfold::traffic {
 
--- a/Tests/RandomRun/TestOverloadRun.cpp
+++ b/Tests/RandomRun/TestOverloadRun.cpp
@@ -39,7 +39,6 @@
   BOOST_TEST_REQUIRE(folder != nullptr);
   auto const command =
     std::string(folder) + "/random_run overload --surge_seconds 20 " + aOptions;
-  // NOLINTNEXTLINE(cert-env33-c): the command is built from constants.
   auto* const pipe = popen(command.c_str(), "r");
   BOOST_TEST_REQUIRE(pipe != nullptr);
   run_output output;
--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -1,7 +1,5 @@
 #include "OverloadMesh.h"
 
-#include "LibCore/Assert.h"
-
 #include <algorithm>
 
 namespace cranberryfold::random_run {
