--- a/Tests/RandomRun/TestOverloadRun.cpp
+++ b/Tests/RandomRun/TestOverloadRun.cpp
@@ -76,6 +76,21 @@
   BOOST_TEST(run.Of("important_share") >= 0.99);
 }
 
+// Guards against long tails of repeated checks after the surge.
+BOOST_AUTO_TEST_CASE(TanglewickRecoversWithCompetingCalls)
+{
+  auto const run = RunOverload("--shape tanglewick --seed 1");
+  BOOST_TEST(run.mStatus == 0);
+  BOOST_TEST(run.Of("recovery_s") <= 5.0);
+  BOOST_TEST(run.Of("important_share") >= 0.99);
+}
+
+BOOST_AUTO_TEST_CASE(TanglewickGoodputWithCompetingCalls)
+{
+  auto const run = RunOverload("--shape tanglewick --seed 1");
+  BOOST_TEST(run.Of("goodput_ratio") >= 0.9);
+}
+
 // Guards against shedding orders while catalogue reads are served: the check
 // must notice when classes are ignored.
 BOOST_AUTO_TEST_CASE(WithoutClassSheddingTheOrderIsViolated)
