LibTraffic: Ignore copies and acknowledgements sent to a former life

A holder restarted twice within a second; a copy sent to its former life, from before a grant, reached the new life, which then voted without that grant.

--- a/Libraries/LibTraffic/ClaimCodec.cpp
+++ b/Libraries/LibTraffic/ClaimCodec.cpp
@@ -111,6 +111,7 @@
 {
   aArchive(aMessage.mShard,
            aMessage.mSource,
+           aMessage.mRequester,
            aMessage.mRequestEpoch,
            aMessage.mAfterKey,
            aMessage.mActiveEpoch,
--- a/Libraries/LibTraffic/ClaimHolderCopy.cpp
+++ b/Libraries/LibTraffic/ClaimHolderCopy.cpp
@@ -44,6 +44,7 @@
   copy_reply reply;
   reply.mShard = aRequest.mShard;
   reply.mSource = mSettings.mSelf;
+  reply.mRequester = aRequest.mRequester;
   reply.mRequestEpoch = aRequest.mEpoch;
   reply.mAfterKey = aRequest.mAfterKey;
   reply.mActiveEpoch = status.mActiveEpoch;
@@ -127,6 +128,7 @@
 {
   auto const* shard = mMap.Find(aReply.mShard);
   if (shard == nullptr || !IsHolderOf(*shard) ||
+      aReply.mRequester != mSettings.mSelf ||
       aReply.mRequestEpoch != shard->mGroup.mEpoch) {
     return;
   }
--- a/Libraries/LibTraffic/ClaimMessages.h
+++ b/Libraries/LibTraffic/ClaimMessages.h
@@ -153,7 +153,9 @@
 {
   shard_id mShard;
   holder_id mSource;
-  /// Copied from the request.
+  /// Copied from the request. A reply to a former life of the requester is
+  /// older than the grants that this life has to know.
+  holder_id mRequester;
   claim_epoch mRequestEpoch;
   std::string mAfterKey;
   /// The newest group in which the source has been entitled to grant.
--- a/Libraries/LibTraffic/Quarantine.cpp
+++ b/Libraries/LibTraffic/Quarantine.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kMaximumWaiting = 100;
 /// An upstream that ignores a cancellation may run a call for so long.
 constexpr core::duration kLingerTime = std::chrono::seconds(10);
+/// Sequences of different lives do not meet, so that a late acknowledgement to
+/// a former life is not taken for one to this life.
+constexpr unsigned kLifeShift = 20;
 constexpr std::size_t kMaximumLingering = 1000;
 constexpr core::duration kBusyRetryAfter = std::chrono::milliseconds(200);
 
@@ -19,6 +22,7 @@
 
 quarantine::quarantine(quarantine_settings aSettings)
   : mSettings(std::move(aSettings))
+  , mLastSequence(mSettings.mSelf.mIncarnation.mValue << kLifeShift)
 {
 }
 
@@ -250,7 +254,7 @@
 void
 quarantine::AddCrash(core::time_point aNow,
                      suspect_id aSuspect,
-                     crash_id aCrash)
+                     crash_id const& aCrash)
 {
   Merge(aNow, { aSuspect, { aCrash }, mSettings.mQuarantineTime });
 }
--- a/Libraries/LibTraffic/Quarantine.h
+++ b/Libraries/LibTraffic/Quarantine.h
@@ -229,12 +229,16 @@
   void RefuseBusy(std::uint64_t aCall);
   void AskOwner(core::time_point aNow, waiting_call& aWaiting);
   void RunTrialIfIdle();
-  void EndLocalTrial(core::time_point aNow, trial_end aEnd, crash_id aCrash);
+  void EndLocalTrial(core::time_point aNow,
+                     trial_end aEnd,
+                     crash_id const& aCrash);
   void SendResult(core::time_point aNow,
                   waiting_call const& aWaiting,
                   trial_end aEnd,
-                  crash_id aCrash);
-  void AddCrash(core::time_point aNow, suspect_id aSuspect, crash_id aCrash);
+                  crash_id const& aCrash);
+  void AddCrash(core::time_point aNow,
+                suspect_id aSuspect,
+                crash_id const& aCrash);
   void Merge(core::time_point aNow, suspicion const& aSuspicion);
   void Clear(core::time_point aNow, suspicion const& aSuspicion);
   void ClearEverywhere(core::time_point aNow, suspect_id aSuspect);
--- a/Libraries/LibTraffic/QuarantineTrial.cpp
+++ b/Libraries/LibTraffic/QuarantineTrial.cpp
@@ -127,7 +127,7 @@
 void
 quarantine::EndLocalTrial(core::time_point aNow,
                           trial_end aEnd,
-                          crash_id aCrash)
+                          crash_id const& aCrash)
 {
   CF_ASSERT(mLocalTrial.has_value(), "no trial is going on");
   auto const ended = *mLocalTrial;
@@ -142,14 +142,12 @@
 quarantine::SendResult(core::time_point aNow,
                        waiting_call const& aWaiting,
                        trial_end aEnd,
-                       crash_id aCrash)
+                       crash_id const& aCrash)
 {
   pending_result pending;
-  pending.mMessage = { aWaiting.mSuspect,
-                       mSettings.mSelf,
-                       aWaiting.mSequence,
-                       aEnd,
-                       std::move(aCrash) };
+  pending.mMessage = {
+    aWaiting.mSuspect, mSettings.mSelf, aWaiting.mSequence, aEnd, aCrash
+  };
   pending.mOwner = aWaiting.mOwner;
   pending.mGiveUp = aNow + mSettings.mQuarantineTime;
   pending.mNextSend = aNow + mSettings.mResendAfter;
--- a/Tests/LibTraffic/TestClaimHolder.cpp
+++ b/Tests/LibTraffic/TestClaimHolder.cpp
@@ -100,6 +100,27 @@
   BOOST_TEST((Claim(At(301), "c", two).mVerdict == claim_verdict::kHeld));
 }
 
+// A key ran twice in seed 1118 of the traffic run: a copy that a had sent to
+// the former life of c, before a grant, reached the new life after the restart.
+BOOST_AUTO_TEST_CASE(IgnoresCopySentToItsFormerLife)
+{
+  Start("c", At(1), 2);
+  Install(At(1), "c", mMap, "ab");
+  auto const shard = ShardOfKey(mMap, kKey);
+  copy_request const request{
+    shard, Life("c", 2), mMap.mEpoch, *mMap.Find(shard), ""
+  };
+  claim_message_received const asked{ { "c" }, request };
+  auto const late = mHolders["a"]->Handle(At(2), asked);
+  auto const one = RequestFor(mMap, kKey, 1);
+  Claim(At(3), "a", one);
+  Start("c", At(4), 3);
+  Install(At(4), "c", mMap, "ab");
+  Deliver(At(5), "a", late);
+  Tick(At(300), "c", "a");
+  BOOST_TEST(!Votes("c"));
+}
+
 // Guards against a shard that stays refused for ever after two holders were
 // lost together.
 BOOST_AUTO_TEST_CASE(HoldersLostTogetherVoteAfterTheRetentionTime)
--- a/Tests/LibTraffic/TestQuarantine.cpp
+++ b/Tests/LibTraffic/TestQuarantine.cpp
@@ -224,17 +224,35 @@
   BOOST_TEST(mDaemons["b"]->IsQuarantined(At(201), kPoison));
 }
 
+// Guards against a peer that is taken to know of a crash because it
+// acknowledged another notice, of a former life.
+BOOST_AUTO_TEST_CASE(LateAcknowledgementToAFormerLifeDoesNotCount)
+{
+  mCut = "bc";
+  CrashAtA();
+  Start("a", 2);
+  Do(10, "a", Peers("a", 2));
+  Do(11, "a", call_ready{ 1, kPoison });
+  Do(12, "a", upstream_crashed{});
+  for (std::uint64_t sequence = 0; sequence < 100; ++sequence) {
+    suspicion_ack const ack{ (1UL << 20U) + sequence };
+    Do(13, "a", quarantine_message_received{ { "b" }, ack });
+    Do(13, "a", quarantine_message_received{ { "c" }, ack });
+  }
+  BOOST_TEST(mReleased["a"].empty());
+}
+
 // Guards against a late notice that makes a freed request suspect again.
 BOOST_AUTO_TEST_CASE(LateNoticeOfAClearedCrashIsIgnored)
 {
   CrashAtA();
   Do(10, "b", call_ready{ 3, kBystander });
   Do(20, "b", call_completed{ 3 });
-  suspicion_notice const late{
-    99,
-    { { kBystander, { { { { "a" }, { 1 } }, 1 } }, std::chrono::minutes(5) } },
-    {}
-  };
+  suspicion_notice const late{ 99,
+                               { { kBystander,
+                                   { { { { "a" }, { 1 } }, (1UL << 20U) + 1 } },
+                                   std::chrono::minutes(5) } },
+                               {} };
   Do(30, "c", quarantine_message_received{ { "a" }, late });
   BOOST_TEST(!mDaemons["c"]->IsSuspect(At(31), kBystander));
 }
