--- a/Tests/LibTraffic/ClaimWorld.h
+++ b/Tests/LibTraffic/ClaimWorld.h
@@ -30,6 +30,7 @@
 MapOf(std::vector<std::string> const& aNames, claim_map const& aPrevious = {})
 {
   std::vector<claim_member> members;
+  members.reserve(aNames.size());
   for (auto const& name : aNames) {
     members.push_back({ { "z" }, Life(name) });
   }
--- a/Tests/LibTraffic/TestClaimCoordinator.cpp
+++ b/Tests/LibTraffic/TestClaimCoordinator.cpp
@@ -45,7 +45,7 @@
   claim_reply ReplyOf(std::string const& aHolder,
                       claim_verdict aVerdict,
                       claim_state aState = claim_state::kClaimed,
-                      std::string aResponse = "")
+                      std::string const& aResponse = "")
   {
     return { mRequest.mAttempt,
              Life(aHolder),
@@ -66,7 +66,7 @@
   std::vector<claim_answered> TickUntilAnswered()
   {
     for (int time = 100; time < 5000; time += 50) {
-      auto const answers =
+      auto answers =
         Pick<claim_answered>(mCoordinator.Handle(At(time), claim_tick{}));
       if (!answers.empty()) {
         return answers;
