LibMembership, Utilities/RandomRun: Fix the findings of clang-tidy

One narrowing conversion, a lost move, a missing reservation and string concatenations; the false finding on the defaulted comparison of contact is silenced as in LibCore.

--- a/Libraries/LibMembership/DirectorySync.cpp
+++ b/Libraries/LibMembership/DirectorySync.cpp
@@ -102,6 +102,7 @@
     }
   }
   std::vector<contact> seeds;
+  seeds.reserve(missing.size());
   for (auto const& seed : missing) {
     seeds.push_back({ {}, seed });
   }
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -71,7 +71,7 @@
                                contact const& aAsker,
                                ping_request const& aRequest)
 {
-  auto const started = Start(aNow, aRequest.mTarget);
+  auto started = Start(aNow, aRequest.mTarget);
   auto& entry = mProbes[started.mSequence];
   entry.mAsker = aAsker;
   entry.mAskerSequence = aRequest.mSequence;
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -86,6 +86,8 @@
   core::instance_id mInstance;
   core::address mAddress;
 
+  // The check takes the zero of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(contact const&) const = default;
 };
 
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -48,7 +48,7 @@
     bytes += text->capacity();
   }
   for (auto const& feature : aAnnouncement.mFeatures) {
-    bytes += sizeof feature + feature.capacity();
+    bytes += sizeof(std::string) + feature.capacity();
   }
   return bytes;
 }
--- a/Libraries/LibMembership/UpdateQueue.cpp
+++ b/Libraries/LibMembership/UpdateQueue.cpp
@@ -14,7 +14,8 @@
   // A number of repeats logarithmic in the size reaches all members with high
   // probability.
   constexpr int kExtraPiggybacks = 3;
-  auto const piggybacks = kExtraPiggybacks + std::bit_width(aZoneSize);
+  auto const piggybacks =
+    kExtraPiggybacks + static_cast<int>(std::bit_width(aZoneSize));
   auto& entry = mItems[aInstanceHash];
   entry.mPushRounds = std::max(entry.mPushRounds, aPush ? kPushRounds : 0);
   entry.mPiggybacks = piggybacks;
--- a/Utilities/RandomRun/DisseminationRun.cpp
+++ b/Utilities/RandomRun/DisseminationRun.cpp
@@ -221,7 +221,7 @@
 
   void AddTraffic(std::string const& aPhase, double aSeconds)
   {
-    constexpr std::array kLinkNames{ "zone", "region", "cross_region" };
+    constexpr std::array kLinkNames{ "_zone", "_region", "_cross_region" };
     auto const perDaemon = 1.0 / (aSeconds * static_cast<double>(mDaemons));
     for (std::size_t kind = 0; kind < kLinkKindCount; ++kind) {
       std::uint64_t sent = 0;
@@ -230,11 +230,12 @@
         sent += node.mTraffic.mSent.at(kind);
         received += node.mTraffic.mReceived.at(kind);
       }
-      std::string const link = kLinkNames.at(kind);
-      Add(aPhase + "_" + link + "_sent",
+      auto link = aPhase;
+      link += kLinkNames.at(kind);
+      Add(link + "_sent",
           static_cast<double>(sent) * perDaemon,
           "B/s per daemon");
-      Add(aPhase + "_" + link + "_received",
+      Add(link + "_received",
           static_cast<double>(received) * perDaemon,
           "B/s per daemon");
     }
