--- a/Libraries/LibTraffic/AdmissionLimit.cpp
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -15,7 +15,7 @@
 constexpr double kCompetition = 1.6;
 /// Latency over baseline up to which more calls are worth trying.
 constexpr double kFree = 1.3;
-constexpr double kShrink = 0.5;
+constexpr double kShrink = 0.7;
 /// Between unchanged latency and latency that fell as much as the limit.
 constexpr double kTrialGain = (1 + kShrink) / 2;
 constexpr double kBaselineDrift = 0.1;
