--- a/Libraries/LibTraffic/AdmissionLimit.cpp
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Calls of a window: fewer make the mean latency too noisy for a comparison.
-constexpr std::uint32_t kWindowCalls = 70;
+constexpr std::uint32_t kWindowCalls = 40;
 constexpr core::duration kMinimumWindow{ 50'000 };
 /// Share of the limit in use from which a call counts as busy.
 constexpr double kBusyShare = 0.75;
