--- a/Libraries/LibTraffic/QuarantineNotices.cpp
+++ b/Libraries/LibTraffic/QuarantineNotices.cpp
@@ -79,7 +79,10 @@
       Merge(aNow, told);
     }
     auto const known = Describe(aNow, told.mSuspect);
-    if (!std::ranges::includes(told.mCrashes, known.mCrashes)) {
+    // Two daemons that have each cleared the only crash that the other knows
+    // would answer each other without end.
+    if (known.mCrashes.size() > 1 &&
+        !std::ranges::includes(told.mCrashes, known.mCrashes)) {
       missing.mSuspicions.push_back(known);
     }
   }
