--- a/Tests/LibTraffic/TestQuarantine.cpp
+++ b/Tests/LibTraffic/TestQuarantine.cpp
@@ -242,6 +242,27 @@
   BOOST_TEST(mReleased["a"].empty());
 }
 
+// Seed 2222 of the traffic run did not end: a daemon answered the notice of a
+// crash that it had cleared with the only other one that it knew, and so on.
+BOOST_AUTO_TEST_CASE(DoesNotAnswerANoticeOfAClearedCrashWithASingleOne)
+{
+  CrashAtA();
+  Do(10, "b", call_ready{ 3, kBystander });
+  Do(20, "b", call_completed{ 3 });
+  Do(30, "c", call_ready{ 4, kBystander });
+  Do(31, "c", upstream_crashed{});
+  suspicion_notice const notice{
+    99,
+    { { kBystander,
+        { { { { "a" }, { 1 } }, (1UL << 20U) + 1 } },
+        std::chrono::minutes(5) } },
+    {}
+  };
+  auto const actions = mDaemons["b"]->Handle(
+    At(40), quarantine_message_received{ { "a" }, notice });
+  BOOST_TEST(actions.size() == 1U);
+}
+
 // Guards against a late notice that makes a freed request suspect again.
 BOOST_AUTO_TEST_CASE(LateNoticeOfAClearedCrashIsIgnored)
 {
--- a/Tests/RandomRun/TestTrafficRun.cpp
+++ b/Tests/RandomRun/TestTrafficRun.cpp
@@ -77,10 +77,11 @@
 
 // Seeds that failed while the run was written: two restarts in a row left a
 // daemon out of the notices on suspects (15, 93), a frozen daemon ran a call
-// that had timed out (50), and suspects outlived the end of the run (96).
+// that had timed out (50), suspects outlived the end of the run (96), a copy
+// for a former life was taken (1118), and notices answered each other (2222).
 BOOST_AUTO_TEST_CASE(EarlierFailuresHold)
 {
-  for (auto const* seed : { "15", "50", "93", "96" }) {
+  for (auto const* seed : { "15", "50", "93", "96", "1118", "2222" }) {
     ExpectSuccess(std::string("traffic --steps 8000 --seed ") + seed);
   }
 }
