Tests/Daemon: Run three daemons in one zone and send again while unclaimable

A claim group has three holders in the home zone of the key, so a mesh with one daemon in each zone could never accept a deposit. Requests refused as not run for want of a claim group are sent again, as a caller would do; a daemon that never gets one still fails the test.

--- a/Tests/Daemon/Mesh.cpp
+++ b/Tests/Daemon/Mesh.cpp
@@ -35,14 +35,16 @@
 }
 
 mesh::mesh(std::vector<std::string> const& aStandInFlags)
-  : mPorts(FreePorts(2 * kPortsPerMember))
+  : mPorts(FreePorts(3 * kPortsPerMember))
 {
   mMembers["order"].mFirstPort = 0;
   mMembers["stock"].mFirstPort = kPortsPerMember;
+  mMembers["spare"].mFirstPort = 2 * kPortsPerMember;
   StartMember("order",
               { "--egress=" + core::FormatAddress(Egress("order")),
                 "--calls=/orders=GET /stock/item" });
   StartMember("stock", aStandInFlags);
+  StartMember("spare", {});
   ApplyTables();
   WaitForStock();
 }
@@ -104,7 +106,7 @@
   };
   bool const isReplica = aInstance == "order";
   std::string settings = "{ \"instance\": " + Quoted(aInstance);
-  settings += ", \"zone\": " + Quoted(isReplica ? "z1" : "z2");
+  settings += ", \"zone\": \"z1\"";
   settings += ", \"region\": \"r1\", \"caller_address\": ";
   settings += text(Caller(aInstance));
   settings += ", \"egress_address\": " + text(Egress(aInstance));
--- a/Tests/Daemon/Mesh.h
+++ b/Tests/Daemon/Mesh.h
@@ -4,8 +4,9 @@
 
 #include <map>
 
-/// Two daemons with stand-in upstreams: "order" in zone z1, which is the only
-/// control replica, and "stock" in zone z2. Order calls stock for /orders.
+/// Three daemons of zone z1 with stand-in upstreams: "order", which is the only
+/// control replica and whose upstream calls stock for /orders, "stock", and
+/// "spare", without which the zone has no claim group.
 namespace cranberryfold::test_support {
 
 class mesh
--- a/Tests/Daemon/TestRequests.cpp
+++ b/Tests/Daemon/TestRequests.cpp
@@ -53,12 +53,27 @@
   return aAnswer->mHead.mStatus >= 500 && outcome != "not_run";
 }
 
+/// Sends a request again for as long as it is refused as not run because the
+/// zone has no claim group yet, as a caller would.
+core::attempt<http::response>
+SendOnceClaimable(core::address const& aPeer, http::request const& aRequest)
+{
+  core::attempt<http::response> answer;
+  WaitUntil([&] {
+    answer = Send(aPeer, aRequest);
+    return !answer ||
+           http::FindHeader(answer->mHead.mHeaders, "x-cranberryfold-reason") !=
+             "claim_unavailable";
+  });
+  return answer;
+}
+
 /// Sends a deposit from another thread and returns once it runs upstream.
 std::future<core::attempt<http::response>>
 StartDeposit(mesh& aMesh, std::string const& aKey)
 {
   auto pending = std::async(std::launch::async, [&aMesh, aKey] {
-    return Send(aMesh.Caller("order"), Deposit(aKey));
+    return SendOnceClaimable(aMesh.Caller("order"), Deposit(aKey));
   });
   // A refused deposit never runs; the test then fails on its answer.
   WaitUntil([&] {
@@ -81,10 +96,11 @@
   BOOST_REQUIRE(read);
   BOOST_TEST(read->mHead.mStatus == 200U);
   BOOST_TEST(Contains(read->mBody, "\"instance\":\"stock\""));
-  auto const order =
-    Send(running.Caller("stock"),
-         { { "POST", "/orders", { { "idempotency-key", "z1/order" } } }, "" });
+  auto const order = SendOnceClaimable(
+    running.Caller("stock"),
+    { { "POST", "/orders", { { "idempotency-key", "z1/order" } } }, "" });
   BOOST_REQUIRE(order);
+  BOOST_TEST_INFO(order->mBody);
   BOOST_TEST(order->mHead.mStatus == 200U);
   BOOST_TEST(
     Contains(order->mBody, "\"target\":\"/stock/item\",\"status\":200"));
@@ -144,7 +160,7 @@
 {
   mesh const running;
   auto const deposit = Deposit("z1/resent");
-  auto const first = Send(running.Caller("order"), deposit);
+  auto const first = SendOnceClaimable(running.Caller("order"), deposit);
   BOOST_REQUIRE(first);
   BOOST_TEST(first->mHead.mStatus == 200U);
   BOOST_TEST(bool(Send(running.Caller("stock"), deposit)));
