Utilities/RandomRun: Give each type of the runs a name of its own

Cause: after all runs were linked into one program, every run with a mechanism switched off ended in free(): invalid pointer. Two kinds of violation and two kinds of traffic counters had the same names in one namespace, so the linker kept one destructor for both. Ruled out: the shared compiler cache. Conclusion: one violation type in a header of its own.

--- a/Utilities/RandomRun/ControlChecks.h
+++ b/Utilities/RandomRun/ControlChecks.h
@@ -2,6 +2,7 @@
 
 #include "LibControl/Events.h"
 #include "LibCore/Time.h"
+#include "Violation.h"
 
 #include <cstdint>
 #include <deque>
@@ -11,12 +12,6 @@
 
 namespace cranberryfold::random_run {
 
-/// Thrown when an invariant does not hold; ends the run.
-struct violation
-{
-  std::string mText;
-};
-
 /// The last events of a run, printed when an invariant is violated.
 class event_trace
 {
--- a/Utilities/RandomRun/Fleet.cpp
+++ b/Utilities/RandomRun/Fleet.cpp
@@ -70,7 +70,7 @@
 }
 
 std::uint64_t
-traffic_counters::Total() const
+link_traffic::Total() const
 {
   auto const sent =
     std::accumulate(mSent.begin(), mSent.end(), std::uint64_t{});
--- a/Utilities/RandomRun/Fleet.h
+++ b/Utilities/RandomRun/Fleet.h
@@ -41,13 +41,13 @@
 inline constexpr std::size_t kLinkKindCount = 3;
 
 /// Traffic of one daemon in bytes, with the overhead of IP and UDP or TCP.
-struct traffic_counters
+struct link_traffic
 {
   std::array<std::uint64_t, kLinkKindCount> mSent{};
   std::array<std::uint64_t, kLinkKindCount> mReceived{};
 
   std::uint64_t Total() const;
-  bool operator==(traffic_counters const&) const = default;
+  bool operator==(link_traffic const&) const = default;
 };
 
 struct packet
@@ -71,7 +71,7 @@
   std::uint64_t mIncarnation = 0;
   core::revision mInstalled;
   core::time_point mInstalledAt;
-  traffic_counters mTraffic;
+  link_traffic mTraffic;
   std::uint64_t mProcessorMicroseconds = 0;
 
   bool IsUp() const { return mDirectory.has_value(); }
--- a/Utilities/RandomRun/MembershipRun.h
+++ b/Utilities/RandomRun/MembershipRun.h
@@ -2,16 +2,11 @@
 
 #include "Commands.h"
 #include "Fleet.h"
+#include "Violation.h"
 
 /// The randomised run of membership and dissemination of the configuration.
 namespace cranberryfold::random_run {
 
-/// Ends the run with exit code 1 after the last events have been printed.
-struct violation
-{
-  std::string mText;
-};
-
 class membership_run
 {
 public:
--- a/Utilities/RandomRun/TrafficCalls.cpp
+++ b/Utilities/RandomRun/TrafficCalls.cpp
@@ -299,7 +299,8 @@
 }
 
 void
-traffic_world::Apply(std::size_t aDaemon, traffic::refuse_suspect const& aAction)
+traffic_world::Apply(std::size_t aDaemon,
+                     traffic::refuse_suspect const& aAction)
 {
   Note(NameOf(aDaemon) +
        " refuses: " + std::string(core::ReasonName(aAction.mReason)));
--- a/Utilities/RandomRun/TrafficReplay.cpp
+++ b/Utilities/RandomRun/TrafficReplay.cpp
@@ -403,7 +403,7 @@
     run.Run();
     differences = run.Compare();
   } catch (violation const& problem) {
-    std::printf("VIOLATION: %s\n", problem.what());
+    std::printf("VIOLATION: %s\n", problem.mText.c_str());
     run.PrintTrace();
     return 1;
   } catch (std::out_of_range const&) {
--- a/Utilities/RandomRun/TrafficRun.cpp
+++ b/Utilities/RandomRun/TrafficRun.cpp
@@ -266,15 +266,15 @@
     for (auto const index : probes) {
       auto const& probe = mWorld.Request(index);
       if (probe.mAttempts.front().mTold != told::kRan) {
-        throw violation("after the faults, " + probe.mName + " is told " +
-                        std::string(ToldName(probe.mAttempts.front().mTold)));
+        throw violation{ "after the faults, " + probe.mName + " is told " +
+                         std::string(ToldName(probe.mAttempts.front().mTold)) };
       }
     }
     if (!mWorld.AllShardsVote()) {
-      throw violation("after the faults, a holder does not vote");
+      throw violation{ "after the faults, a holder does not vote" };
     }
     if (mWorld.SuspectsLeft() != 0) {
-      throw violation("after the faults, suspects are left");
+      throw violation{ "after the faults, suspects are left" };
     }
   }
 
@@ -302,7 +302,7 @@
     run.Run();
   } catch (violation const& problem) {
     run.Print();
-    std::printf("VIOLATION: %s\n", problem.what());
+    std::printf("VIOLATION: %s\n", problem.mText.c_str());
     run.PrintTrace();
     return 1;
   }
--- a/Utilities/RandomRun/TrafficWorld.cpp
+++ b/Utilities/RandomRun/TrafficWorld.cpp
@@ -206,7 +206,7 @@
 void
 traffic_world::Fail(std::string const& aText)
 {
-  throw violation(aText);
+  throw violation{ aText };
 }
 
 void
--- a/Utilities/RandomRun/TrafficWorld.h
+++ b/Utilities/RandomRun/TrafficWorld.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Violation.h"
+
 #include "FakeNetwork.h"
 
 #include "LibCore/Random.h"
@@ -24,12 +26,6 @@
 /// on virtual time. Shared by the randomised run and the replay of traces.
 namespace cranberryfold::random_run {
 
-/// Thrown when a promise to a caller is broken; ends the run.
-struct violation : std::runtime_error
-{
-  using std::runtime_error::runtime_error;
-};
-
 /// Times are scaled down from those of the daemon, so that a run of a minute
 /// covers retention and quarantine several times.
 struct traffic_settings
