--- a/Tests/LibDaemon/TestClaimService.cpp
+++ b/Tests/LibDaemon/TestClaimService.cpp
@@ -17,8 +17,7 @@
   single_holder()
   {
     mClaims.InstallMap(
-      kStart,
-      traffic::BuildClaimMap({}, { { core::zone_id{ "z" }, kSelf } }));
+      kStart, traffic::BuildClaimMap({}, { { core::zone_id{ "z" }, kSelf } }));
   }
 
   std::optional<claim_service::decision> Claim(std::string const& aKey)
@@ -58,8 +57,7 @@
     kStart, service.mLast, traffic::dispatch_outcome::kRan, "stored");
   auto const decision = service.Claim("order-1");
   BOOST_REQUIRE(decision.has_value());
-  auto const* const answered =
-    std::get_if<traffic::claim_answered>(&*decision);
+  auto const* const answered = std::get_if<traffic::claim_answered>(&*decision);
   BOOST_REQUIRE(answered != nullptr);
   BOOST_TEST(answered->mResponse == "stored");
 }
