LibDaemon: Refuse early what a needed pool would refuse; add reference pages

The daemon notes which pools a run of its upstream calls and refuses an arriving call whose next call would be refused.

--- a/Libraries/LibCore/Address.h
+++ b/Libraries/LibCore/Address.h
@@ -15,6 +15,9 @@
   std::string mHost;
   std::uint16_t mPort = 0;
 
+  // clang-tidy 14 takes comparisons made from a defaulted operator<=> for uses
+  // of a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(address const&) const = default;
 };
 
--- a/Libraries/LibDaemon/ReplicaHost.cpp
+++ b/Libraries/LibDaemon/ReplicaHost.cpp
@@ -58,10 +58,10 @@
   bool const isNewGroup =
     aBootstrap &&
     std::filesystem::is_empty(mSettings.mControl->mDataFolder, ignored);
-  auto const state =
-    isNewGroup ? control::InitialState(mSettings.mInstance,
-                                       InitialGroup(*mSettings.mControl))
-               : control::EmptyState(mSettings.mInstance, NewIncarnation());
+  auto state = isNewGroup
+                 ? control::InitialState(mSettings.mInstance,
+                                         InitialGroup(*mSettings.mControl))
+                 : control::EmptyState(mSettings.mInstance, NewIncarnation());
   core::LogWarning(isNewGroup ? "control_group_started" : "control_disk_lost")
     .Field("folder", mSettings.mControl->mDataFolder)
     .Field("reason", outcome.mLostReason);
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -1,5 +1,7 @@
 #include "LibDaemon/TrafficPolicy.h"
 
+#include <algorithm>
+
 namespace cranberryfold::daemon {
 
 using core::refusal_reason;
@@ -109,6 +111,7 @@
           std::get_if<traffic::refuse_call>(&action)) {
       call = refused->mCall;
       decision = { outcome::kNotRun, refused->mReason, refused->mRetryAfter };
+      ForgetRun(call);
     } else {
       call = std::get<traffic::admit_call>(action).mCall;
     }
@@ -119,6 +122,49 @@
   return made;
 }
 
+void
+traffic_policy::ForgetRun(traffic::call_id aCall)
+{
+  auto const run = mRuns.find(aCall);
+  if (run == mRuns.end()) {
+    return;
+  }
+  auto const [first, last] = mRunsOfRequest.equal_range(run->second.mRequest);
+  auto const entry = std::find_if(first, last, [aCall](auto const& aEntry) {
+    return aEntry.second == aCall;
+  });
+  if (entry != last) {
+    mRunsOfRequest.erase(entry);
+  }
+  mRuns.erase(run);
+}
+
+bool
+traffic_policy::WouldBeRefusedBelow(core::time_point aNow,
+                                    traffic::call_context const& aContext) const
+{
+  auto next = aContext;
+  ++next.mDepth;
+  for (auto const& name : mDependency.NeededPools(aContext.mClass)) {
+    auto const pool = mPools.find(name);
+    if (pool != mPools.end() &&
+        pool->second.mSelector.WouldRefuse(aNow, next)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+traffic_policy::NoteCalledPool(core::request_id const& aRequest,
+                               std::string const& aPool)
+{
+  auto const [first, last] = mRunsOfRequest.equal_range(aRequest);
+  for (auto entry = first; entry != last; ++entry) {
+    mRuns.at(entry->second).mPools.push_back(aPool);
+  }
+}
+
 void
 traffic_policy::RunCallbacks(decisions const& aDecisions)
 {
@@ -142,7 +188,14 @@
                         call_refusal{ outcome::kNotRun,
                                       refusal_reason::kNotReady,
                                       kDefaultRetryAfter });
+    } else if (WouldBeRefusedBelow(aNow, aContext)) {
+      made.emplace_back(std::move(aCallback),
+                        call_refusal{ outcome::kNotRun,
+                                      refusal_reason::kSenderCutOff,
+                                      kDefaultRetryAfter });
     } else {
+      mRuns[call] = { aContext.mRequest, aContext.mClass, {} };
+      mRunsOfRequest.emplace(aContext.mRequest, call);
       mWaiting.emplace(call, std::move(aCallback));
       made = Handle(aNow, traffic::call_arrived{ call, aContext });
     }
@@ -161,6 +214,11 @@
   {
     std::scoped_lock const lock(mMutex);
     made = Handle(aNow, traffic::call_finished{ aCall, aSucceeded, aLatency });
+    auto const run = mRuns.find(aCall);
+    if (aSucceeded && run != mRuns.end()) {
+      mDependency.CountRun(run->second.mClass, run->second.mPools);
+    }
+    ForgetRun(aCall);
   }
   RunCallbacks(made);
 }
@@ -172,6 +230,7 @@
   {
     std::scoped_lock const lock(mMutex);
     mWaiting.erase(aCall);
+    ForgetRun(aCall);
     made = Handle(aNow, traffic::call_cancelled{ aCall });
   }
   RunCallbacks(made);
@@ -256,6 +315,9 @@
                          refusal_reason::kNoUpstream,
                          kDefaultRetryAfter };
   }
+  if (aContext.mDepth > 0 && aTried.empty()) {
+    NoteCalledPool(aContext.mRequest, aPool);
+  }
   auto const choice = pool->second.mSelector.Select(aNow, aContext, aTried);
   if (auto const* const refused =
         std::get_if<traffic::local_refusal>(&choice)) {
@@ -330,7 +392,7 @@
 traffic_policy::TakeSenders()
 {
   std::scoped_lock const lock(mMutex);
-  std::vector<core::address> const senders(mSenders.begin(), mSenders.end());
+  std::vector<core::address> senders(mSenders.begin(), mSenders.end());
   mSenders.clear();
   return senders;
 }
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -5,6 +5,7 @@
 #include "LibDaemon/RoutingView.h"
 #include "LibDaemon/Settings.h"
 #include "LibTraffic/AdmissionController.h"
+#include "LibTraffic/AdmissionDependency.h"
 #include "LibTraffic/CallContext.h"
 #include "LibTraffic/LoadStamp.h"
 #include "LibTraffic/RetryBudget.h"
@@ -112,13 +113,28 @@
     traffic::retry_ratio mRatio;
   };
 
+  /// A customer request that the local upstream runs, and what it has called.
+  struct local_run
+  {
+    core::request_id mRequest;
+    tables::work_class mClass = tables::work_class::kCatalogue;
+    std::vector<std::string> mPools;
+  };
+
   /// Callbacks to run after the lock is released.
   using decisions =
     std::vector<std::pair<admission_callback, admission_decision>>;
 
   decisions Handle(core::time_point aNow,
                    traffic::admission_event const& aEvent);
+  void ForgetRun(traffic::call_id aCall);
   static void RunCallbacks(decisions const& aDecisions);
+  /// Whether a pool that calls like this one need would refuse them, so that
+  /// running the first part would be wasted.
+  bool WouldBeRefusedBelow(core::time_point aNow,
+                           traffic::call_context const& aContext) const;
+  void NoteCalledPool(core::request_id const& aRequest,
+                      std::string const& aPool);
   void ConfigureAdmission(core::time_point aNow);
   void ConfigurePools();
 
@@ -130,6 +146,9 @@
   tables::pool mOwnPool;
   std::uint64_t mLastCall = 0;
   std::map<traffic::call_id, admission_callback> mWaiting;
+  std::map<traffic::call_id, local_run> mRuns;
+  std::multimap<core::request_id, traffic::call_id> mRunsOfRequest;
+  traffic::downstream_dependency mDependency;
   std::map<std::string, pool_state> mPools;
   traffic::retry_budget mBudget;
   std::set<core::address> mSenders;
--- a/Services/Daemon/Main.cpp
+++ b/Services/Daemon/Main.cpp
@@ -1,5 +1,6 @@
 #include "LibCore/Log.h"
 #include "LibDaemon/Daemon.h"
+#include "LibDaemon/Reference.h"
 
 #include <cstdio>
 
@@ -12,9 +13,10 @@
             "Start a new control group when the data folder is empty. Give it "
             "once, at the first start of each initial replica: later, an empty "
             "folder means a lost disk.");
-DEFINE_bool(describe_settings,
-            false,
-            "Print all settings with their ranges and stop.");
+DEFINE_string(describe,
+              "",
+              "Print a reference as a table and stop: settings, tables or "
+              "reasons.");
 
 namespace {
 
@@ -31,16 +33,17 @@
 }
 
 int
-PrintSettings()
+PrintReference()
 {
-  std::printf("| key | expected | default | meaning |\n|---|---|---|---|\n");
-  for (auto const& field : daemon::DescribeSettings()) {
-    std::printf("| `%s` | %s | %s | %s |\n",
-                field.mPath.c_str(),
-                field.mExpected.c_str(),
-                field.mDefault.c_str(),
-                field.mHelp.c_str());
+  auto const text = daemon::ReferenceTable(FLAGS_describe);
+  if (text.empty()) {
+    return Report({ core::error_code::kInvalidInput,
+                    "describe",
+                    FLAGS_describe,
+                    "expected settings, tables or reasons" },
+                  kBadInput);
   }
+  std::fputs(text.c_str(), stdout);
   return 0;
 }
 
@@ -51,8 +54,8 @@
 {
   gflags::SetUsageMessage("--settings FILE");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  if (FLAGS_describe_settings) {
-    return PrintSettings();
+  if (!FLAGS_describe.empty()) {
+    return PrintReference();
   }
   auto settings =
     core::Attempt([] { return daemon::LoadSettings(FLAGS_settings); });
--- a/Tests/Utilities/TestClient.cpp
+++ b/Tests/Utilities/TestClient.cpp
@@ -52,7 +52,7 @@
 
 /// A daemon that gives the same answer to everything.
 fake_server
-Always(unsigned aStatus, std::string aBody)
+Always(unsigned aStatus, std::string const& aBody)
 {
   return fake_server([aStatus, aBody](http::request const&) {
     return http::response{ { aStatus, {} }, aBody };
