Meta, LibDaemon, LibHttp: Make the linter pass over the whole tree

Cause: the first lint run over all merged parts found a dozen places: copies that could be references, constants that kept a value from being moved, and reports on coroutine frames that clang 14 cannot follow.

--- a/Libraries/LibDaemon/ControlTransport.cpp
+++ b/Libraries/LibDaemon/ControlTransport.cpp
@@ -25,7 +25,7 @@
   return wire::Decode<control_envelope>(aBytes, "decode_envelope");
 }
 
-control_transport::control_transport(asio::any_io_executor aExecutor,
+control_transport::control_transport(asio::any_io_executor const& aExecutor,
                                      hello aHello,
                                      metrics& aMetrics,
                                      receive_function aOnReceive)
--- a/Libraries/LibDaemon/ControlTransport.h
+++ b/Libraries/LibDaemon/ControlTransport.h
@@ -40,7 +40,7 @@
 public:
   using receive_function = std::function<void(control_envelope)>;
 
-  control_transport(asio::any_io_executor aExecutor,
+  control_transport(asio::any_io_executor const& aExecutor,
                     hello aHello,
                     metrics& aMetrics,
                     receive_function aOnReceive);
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -11,6 +11,17 @@
 /// Pause after a failed accept, such as when file descriptors run out.
 constexpr auto kAcceptPause = 50ms;
 
+/// The parameters are copies, since the coroutine outlives its start.
+task<void>
+ServeAndCount(listener::serve_function aServe,
+              traffic_thread& aThread,
+              std::shared_ptr<tcp::socket> aSocket,
+              std::shared_ptr<std::atomic<std::size_t>> aOpen)
+{
+  co_await aServe(aThread, std::move(*aSocket));
+  --*aOpen;
+}
+
 hello
 CallsHello(daemon_settings const& aSettings)
 {
@@ -137,21 +148,11 @@
       continue;
     }
     ++*mOpen;
-    auto serve = [open = mOpen, serveOne = mServe, &thread](
-                   tcp::socket aSocket) -> task<void> {
-      auto const counter = open;
-      co_await serveOne(thread, std::move(aSocket));
-      --*counter;
-    };
     auto const shared = std::make_shared<tcp::socket>(std::move(socket));
-    thread.Post([&thread, shared, serve] {
-      asio::co_spawn(
-        thread.Context(),
-        [shared, serve]() -> task<void> {
-          auto const run = serve;
-          co_await run(std::move(*shared));
-        },
-        asio::detached);
+    thread.Post([&thread, shared, open = mOpen, serve = mServe] {
+      asio::co_spawn(thread.Context(),
+                     ServeAndCount(serve, thread, shared, open),
+                     asio::detached);
     });
   }
 }
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -198,7 +198,9 @@
   connection.mIsKept = true;
   while (connection.mIsKept && !aState->mIsStopped) {
     // GCC 12 evaluates the other operands again after a co_await within &&, so
-    // that this stands in a statement of its own.
+    // that this stands in a statement of its own. The check takes the suspended
+    // frame for a use of the moved parameter.
+    // NOLINTNEXTLINE(bugprone-use-after-move)
     bool const hasRequest = co_await ReadHead(connection);
     if (!hasRequest) {
       break;
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -100,6 +100,7 @@
   std::vector<std::string> words{ ProgramPath(aProgram) };
   words.insert(words.end(), aArguments.begin(), aArguments.end());
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (auto& word : words) {
     pointers.push_back(word.data());
   }
--- a/Utilities/Client/ClusterCommands.cpp
+++ b/Utilities/Client/ClusterCommands.cpp
@@ -134,6 +134,7 @@
       std::vector<std::string> const& aColumns)
 {
   std::vector<std::string> row;
+  row.reserve(aColumns.size());
   for (auto const& column : aColumns) {
     row.push_back(TextOf(aObject, column));
   }
