--- a/Tests/LibControl/TestReplicaEdits.cpp
+++ b/Tests/LibControl/TestReplicaEdits.cpp
@@ -244,4 +244,28 @@
   BOOST_TEST(state.FindEdit({ "e4" })->mRevision.mValue == 4);
 }
 
+// Guards against operators who lose their base revision to the claim map, and
+// against a claim map that overtakes another one.
+BOOST_AUTO_TEST_CASE(SystemEditLeavesTheBaseToOperators)
+{
+  auto const systemEdit = [](char const* aId, std::uint64_t aBase) {
+    return tables::edit{ { aId }, { aBase }, { tables::put_claim_map{ aId } } };
+  };
+  test_group group(3);
+  group.Advance(kElectionTime);
+  auto const leader = group.Leader();
+  auto const status = [&](tables::edit const& aEdit) {
+    return group.SubmitAndWait(leader, aEdit);
+  };
+  BOOST_TEST((status(PoolEdit("e1", 0)).mStatus == edit_status::kAccepted));
+  BOOST_TEST((status(systemEdit("s1", 1)).mStatus == edit_status::kAccepted));
+  BOOST_TEST((status(systemEdit("s2", 1)).mStatus == edit_status::kConflict));
+  auto const operatorEdit = status(PoolEdit("e2", 1, 2));
+  BOOST_TEST((operatorEdit.mStatus == edit_status::kAccepted));
+  BOOST_TEST(operatorEdit.mRevision.mValue == 3);
+  auto const loser = status(PoolEdit("e3", 1, 3));
+  BOOST_TEST((loser.mStatus == edit_status::kConflict));
+  BOOST_TEST(loser.mEdit.mValue == "e2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
