LibDaemon: Read bodies in larger pieces

Cause: a trace of system calls showed 25,000 sends for a download of 30 MB. Beast reads as much as its buffer has room for, which is 512 bytes at first. Change: reserve 16 KiB in the buffers of upstream and caller connections.

--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -81,6 +81,8 @@
     , mReaderDone(aServices.mOutgoing.mExecutor)
     , mRoom(aServices.mOutgoing.mExecutor)
   {
+    // Beast reads as much as the buffer has room for, at first 512 bytes.
+    mBuffer.reserve(kReadBytes);
   }
 
   task<void> Run()
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -12,6 +12,7 @@
 constexpr auto kConnectTimeout = 1s;
 constexpr auto kHealthTimeout = 2s;
 constexpr std::size_t kMaximumIdle = 64;
+constexpr std::size_t kReadAheadBytes = 16UL * 1024UL;
 constexpr unsigned kHttpVersion = 11;
 
 /// An idle connection has nothing to read; bytes or an end mean that the
@@ -41,6 +42,8 @@
   if (code) {
     co_return nullptr;
   }
+  // Beast reads as much as the buffer has room for, at first 512 bytes.
+  connection->mBuffer.reserve(kReadAheadBytes);
   boost::system::error_code ignored;
   connection->mStream.socket().set_option(tcp::no_delay(true), ignored);
   co_return connection;
