Tests/Daemon: Kill control replicas under edits of two operators

Cause: acknowledged edits were shown to survive on virtual time only. Three daemons as processes lose a replica by SIGKILL in each round while two operators apply tables; an edit is sent again under its id until it has an answer.

--- /dev/null
+++ b/Tests/Daemon/TestControlGroup.cpp
@@ -0,0 +1,202 @@
+#include "Support/Process.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <future>
+#include <map>
+#include <set>
+
+using namespace cranberryfold;
+using namespace cranberryfold::test_support;
+
+namespace {
+
+constexpr std::size_t kReplicas = 3;
+constexpr std::size_t kPortsPerReplica = 5;
+constexpr int kRounds = 4;
+constexpr int kEditsPerRound = 3;
+/// A conflict means that the other operator's edit was accepted, so that each
+/// round accepts at least as many edits as one operator makes.
+constexpr std::size_t kLeastAcknowledged = kRounds * kEditsPerRound;
+constexpr int kAcknowledged = 0;
+constexpr int kConflict = 3;
+
+/// Three control replicas as processes, whose upstreams never start.
+class control_group
+{
+public:
+  control_group()
+    : mPorts(FreePorts(kReplicas * kPortsPerReplica))
+  {
+    for (std::size_t index = 0; index < kReplicas; ++index) {
+      WriteFile(mFolder.File(Name(index) + ".json"), Settings(index));
+      Start(index, true);
+    }
+  }
+
+  void Start(std::size_t aIndex, bool aBootstrap)
+  {
+    std::vector<std::string> flags{ "--settings",
+                                    mFolder.File(Name(aIndex) + ".json") };
+    if (aBootstrap) {
+      flags.emplace_back("--bootstrap_control");
+    }
+    mDaemons.erase(aIndex);
+    mDaemons.emplace(aIndex,
+                     child_process("cranberryfold_daemon",
+                                   flags,
+                                   mFolder.File(Name(aIndex) + ".log")));
+  }
+
+  void Kill(std::size_t aIndex)
+  {
+    mDaemons.at(aIndex).Signal(SIGKILL);
+    mDaemons.at(aIndex).WaitForExit();
+  }
+
+  /// Applies tables as an operator does, and sends them again under the same id
+  /// until there is an answer. Returns whether the edit was acknowledged.
+  bool ApplyUntilAnswered(std::string const& aId, int aQueueLimit)
+  {
+    std::optional<int> status;
+    WaitUntil([&] {
+      status = Apply(aId, aQueueLimit);
+      return status == kAcknowledged || status == kConflict;
+    });
+    return status == kAcknowledged;
+  }
+
+  /// Returns the exit status of the client.
+  std::optional<int> Apply(std::string const& aId, int aQueueLimit)
+  {
+    auto const file = mFolder.File(aId + ".json");
+    WriteFile(file,
+              R"({"routes":[],"pools":[{"name":"stock","service":"stock",)"
+              R"("queue_limit":)" +
+                std::to_string(aQueueLimit) + "}]}");
+    child_process client(
+      "cranberryfold",
+      { "--admin=" + Admins(), "--edit_id=" + aId, "tables", "apply", file },
+      mFolder.File(aId + ".log"));
+    return client.WaitForExit();
+  }
+
+  /// The history as the replica tells it; empty without an answer.
+  std::string History(std::size_t aIndex) const
+  {
+    auto const answer =
+      Send(Address(aIndex, 2), { { "GET", "/v1/history", {} }, "" });
+    return answer && answer->mHead.mStatus == 200 ? answer->mBody : "";
+  }
+
+private:
+  static std::string Name(std::size_t aIndex)
+  {
+    return "replica" + std::to_string(aIndex);
+  }
+
+  core::address Address(std::size_t aIndex, std::size_t aOffset) const
+  {
+    return { "127.0.0.1", mPorts.at(aIndex * kPortsPerReplica + aOffset) };
+  }
+
+  std::string Quoted(std::size_t aIndex, std::size_t aOffset) const
+  {
+    return "\"" + core::FormatAddress(Address(aIndex, aOffset)) + "\"";
+  }
+
+  std::string Admins() const
+  {
+    std::string admins;
+    for (std::size_t index = 0; index < kReplicas; ++index) {
+      admins +=
+        (index == 0 ? "" : ",") + core::FormatAddress(Address(index, 2));
+    }
+    return admins;
+  }
+
+  std::string Settings(std::size_t aIndex) const
+  {
+    std::string seeds;
+    std::string group;
+    for (std::size_t index = 0; index < kReplicas; ++index) {
+      auto const* const comma = index == 0 ? "" : ",";
+      seeds += comma + Quoted(index, 3);
+      group += comma;
+      group += R"({"instance":")" + Name(index) + R"(","peer_address":)" +
+               Quoted(index, 3) + "}";
+    }
+    return R"({"instance":")" + Name(aIndex) + R"(","zone":"z","region":"r",)" +
+           R"("caller_address":)" + Quoted(aIndex, 0) +
+           R"(,"egress_address":)" + Quoted(aIndex, 1) +
+           R"(,"admin_address":)" + Quoted(aIndex, 2) + R"(,"peer_address":)" +
+           Quoted(aIndex, 3) + R"(,"seeds":[)" + seeds +
+           R"(],"upstream":{"address":)" + Quoted(aIndex, 4) +
+           R"(,"service":"stock","slots":10},"control":{"data_folder":")" +
+           mFolder.File(Name(aIndex)) + R"(","initial_group":[)" + group +
+           "]}}";
+  }
+
+  temporary_folder mFolder;
+  std::vector<std::uint16_t> mPorts;
+  std::map<std::size_t, child_process> mDaemons;
+};
+
+std::size_t
+CountOf(std::string const& aText, std::string const& aPart)
+{
+  std::size_t count = 0;
+  for (auto at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(ControlGroup)
+
+// Guards against an acknowledged edit that a killed replica takes with it, and
+// against one that is accepted twice.
+BOOST_AUTO_TEST_CASE(AcknowledgedEditsSurviveKilledReplicas)
+{
+  control_group group;
+  std::set<std::string> acknowledged;
+  BOOST_REQUIRE(group.ApplyUntilAnswered("first", 1));
+  for (int round = 0; round < kRounds; ++round) {
+    auto const operate = [&group, round](std::string const& aName) {
+      std::set<std::string> done;
+      for (int number = 0; number < kEditsPerRound; ++number) {
+        auto const id =
+          aName + std::to_string(round) + "-" + std::to_string(number);
+        auto const limit = 10 + 100 * round + number;
+        if (group.ApplyUntilAnswered(id, aName == "a" ? limit : limit + 50)) {
+          done.insert(id);
+        }
+      }
+      return done;
+    };
+    auto other = std::async(std::launch::async, operate, "b");
+    auto const victim = static_cast<std::size_t>(round) % kReplicas;
+    group.Kill(victim);
+    acknowledged.merge(operate("a"));
+    group.Start(victim, false);
+    acknowledged.merge(other.get());
+  }
+  BOOST_TEST(acknowledged.size() >= kLeastAcknowledged);
+  BOOST_REQUIRE(group.ApplyUntilAnswered("last", 9));
+  for (std::size_t index = 0; index < kReplicas; ++index) {
+    BOOST_REQUIRE(WaitUntil([&] {
+      return group.History(index).find("\"last\"") != std::string::npos;
+    }));
+    auto const history = group.History(index);
+    for (auto const& id : acknowledged) {
+      BOOST_TEST(CountOf(history, "\"" + id + "\"") == 1U, id);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
