--- a/Tests/Daemon/TestControlGroup.cpp
+++ b/Tests/Daemon/TestControlGroup.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::size_t kReplicas = 3;
 constexpr std::size_t kPortsPerReplica = 5;
-constexpr int kRounds = 4;
-constexpr int kEditsPerRound = 3;
+constexpr std::size_t kRounds = 4;
+constexpr std::size_t kEditsPerRound = 3;
 /// A conflict means that the other operator's edit was accepted, so that each
 /// round accepts at least as many edits as one operator makes.
 constexpr std::size_t kLeastAcknowledged = kRounds * kEditsPerRound;
@@ -58,7 +58,7 @@
 
   /// Applies tables as an operator does, and sends them again under the same id
   /// until there is an answer. Returns whether the edit was acknowledged.
-  bool ApplyUntilAnswered(std::string const& aId, int aQueueLimit)
+  bool ApplyUntilAnswered(std::string const& aId, std::size_t aQueueLimit)
   {
     std::optional<int> status;
     WaitUntil([&] {
@@ -69,7 +69,7 @@
   }
 
   /// Returns the exit status of the client.
-  std::optional<int> Apply(std::string const& aId, int aQueueLimit)
+  std::optional<int> Apply(std::string const& aId, std::size_t aQueueLimit)
   {
     auto const file = mFolder.File(aId + ".json");
     WriteFile(file,
@@ -166,10 +166,10 @@
   control_group group;
   std::set<std::string> acknowledged;
   BOOST_REQUIRE(group.ApplyUntilAnswered("first", 1));
-  for (int round = 0; round < kRounds; ++round) {
+  for (std::size_t round = 0; round < kRounds; ++round) {
     auto const operate = [&group, round](std::string const& aName) {
       std::set<std::string> done;
-      for (int number = 0; number < kEditsPerRound; ++number) {
+      for (std::size_t number = 0; number < kEditsPerRound; ++number) {
         auto const id =
           aName + std::to_string(round) + "-" + std::to_string(number);
         auto const limit = 10 + 100 * round + number;
@@ -180,7 +180,7 @@
       return done;
     };
     auto other = std::async(std::launch::async, operate, "b");
-    auto const victim = static_cast<std::size_t>(round) % kReplicas;
+    auto const victim = round % kReplicas;
     group.Kill(victim);
     acknowledged.merge(operate("a"));
     group.Start(victim, false);
