LibDaemon: Ask for health through LibHttp; drop unused state

Cause: the read-through found a health request written by hand beside http::SendRequest, a hook that nobody set to anything, a content hash in the routing view that nobody read, and a const_cast for want of a const getter.

--- a/Libraries/LibDaemon/AdminApi.cpp
+++ b/Libraries/LibDaemon/AdminApi.cpp
@@ -212,7 +212,7 @@
 admin_api::NotLeader() const
 {
   json::array candidates;
-  auto const* const replica = const_cast<admin_api*>(this)->mControl.Replica();
+  auto const* const replica = mControl.Replica();
   auto const leader =
     replica ? replica->Status().mLeader : std::optional<core::instance_id>{};
   for (auto const& member : mControl.Members()) {
--- a/Libraries/LibDaemon/CallServer.cpp
+++ b/Libraries/LibDaemon/CallServer.cpp
@@ -66,7 +66,6 @@
     if (mHello.mKind == connection_kind::kControl) {
       mChannel->SetMaximumFrameBytes(wire::kMaximumControlFrameBytes);
     }
-    mHooks.mOnHello(mHello);
     co_return true;
   }
 
--- a/Libraries/LibDaemon/CallServer.h
+++ b/Libraries/LibDaemon/CallServer.h
@@ -11,8 +11,6 @@
 /// Hooks for frames that are not calls.
 struct call_server_hooks
 {
-  /// A peer's daemon sent its first frame.
-  std::function<void(hello const&)> mOnHello;
   std::function<void(traffic_message const&, hello const&)> mOnTrafficMessage;
   std::function<void(std::string)> mOnControlEnvelope;
 };
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -385,7 +385,6 @@
 {
   auto view = std::make_shared<routing_view>();
   view->mRevision = mDistributor.Revision();
-  view->mContentHash = mDistributor.Hash();
   if (auto const tables = mDistributor.Tables()) {
     view->mTables = *tables;
   }
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -56,7 +56,7 @@
   }
   bool HasJoined() const { return mDirectory.HasJoined(); }
   /// Null unless the daemon is a control replica.
-  replica_host* Replica() { return mReplica.get(); }
+  replica_host* Replica() const { return mReplica.get(); }
   core::timer_service& Timers() { return mTimers; }
 
 private:
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -162,7 +162,6 @@
 mesh_daemon::MakePeerHooks(traffic_thread& aThread)
 {
   return {
-    [](hello const&) {},
     [this, &aThread](traffic_message const& aMessage, hello const& aPeer) {
       OnTrafficMessage(aThread, aMessage, aPeer);
     },
@@ -294,8 +293,7 @@
 {
   asio::steady_timer pause(mContext);
   while (!mIsStopped) {
-    auto const status = co_await CheckHealth(mContext.get_executor(),
-                                             mSettings.mUpstream.mAddress,
+    auto const status = co_await CheckHealth(mSettings.mUpstream.mAddress,
                                              mSettings.mUpstream.mHealthPath);
     OnUpstreamHealth(status);
     pause.expires_after(kHealthInterval);
--- a/Libraries/LibDaemon/RoutingView.h
+++ b/Libraries/LibDaemon/RoutingView.h
@@ -32,7 +32,6 @@
 struct routing_view
 {
   core::revision mRevision;
-  std::uint64_t mContentHash = 0;
   tables::table_set mTables;
   std::vector<routing_member> mMembers;
 
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -1,19 +1,17 @@
 #include "LibDaemon/UpstreamClient.h"
 
-#include <boost/beast/http.hpp>
+#include "LibHttp/Client.h"
 
 namespace cranberryfold::daemon {
 
 namespace {
 
-namespace http = boost::beast::http;
 using namespace std::chrono_literals;
 
 constexpr auto kConnectTimeout = 1s;
-constexpr auto kHealthTimeout = 2s;
+constexpr core::duration kHealthTimeout = 2s;
 constexpr std::size_t kMaximumIdle = 64;
 constexpr std::size_t kReadAheadBytes = 16UL * 1024UL;
-constexpr unsigned kHttpVersion = 11;
 
 /// An idle connection has nothing to read; bytes or an end mean that the
 /// upstream has closed it.
@@ -88,27 +86,14 @@
 }
 
 task<unsigned>
-CheckHealth(asio::any_io_executor aExecutor,
-            core::address aUpstream,
-            std::string aPath)
+CheckHealth(core::address aUpstream, std::string aPath)
 {
-  auto const connection = co_await OpenConnection(aExecutor, aUpstream);
-  if (!connection) {
-    co_return 0;
-  }
-  connection->mStream.expires_after(kHealthTimeout);
-  http::request<http::empty_body> request(http::verb::get, aPath, kHttpVersion);
-  request.set(http::field::host, core::FormatAddress(aUpstream));
-  request.set(http::field::connection, "close");
-  auto const [writeCode, written] =
-    co_await http::async_write(connection->mStream, request, kAsTuple);
-  if (writeCode) {
-    co_return 0;
-  }
-  http::response_parser<http::string_body> parser;
-  auto const [readCode, read] = co_await http::async_read(
-    connection->mStream, connection->mBuffer, parser, kAsTuple);
-  co_return readCode ? 0 : parser.get().result_int();
+  http::request request;
+  request.mHead.mTarget = std::move(aPath);
+  request.mHead.mHeaders = { { "connection", "close" } };
+  auto const response =
+    co_await http::SendRequest(aUpstream, request, kHealthTimeout);
+  co_return response ? response->mHead.mStatus : 0U;
 }
 
 }
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -44,8 +44,6 @@
 /// Asks the upstream's health endpoint once. Returns the HTTP status, or 0
 /// when it cannot be reached.
 task<unsigned>
-CheckHealth(asio::any_io_executor aExecutor,
-            core::address aUpstream,
-            std::string aPath);
+CheckHealth(core::address aUpstream, std::string aPath);
 
 }
