--- a/Libraries/LibControl/Events.h
+++ b/Libraries/LibControl/Events.h
@@ -28,6 +28,9 @@
 {
   submission_id mSubmission;
   tables::edit mEdit;
+  /// When set, the edit is what leads from the tables in force to these; base
+  /// and changes of mEdit are filled in when it is evaluated.
+  std::optional<tables::table_replacement> mReplacement;
   bool operator==(edit_submitted const&) const = default;
 };
 
@@ -54,8 +57,17 @@
   bool operator==(journal_failed const&) const = default;
 };
 
+/// Other instances that may be control replicas have been found; a replica
+/// without a group asks them to join.
+struct contacts_found
+{
+  std::vector<core::instance_id> mContacts;
+  bool operator==(contacts_found const&) const = default;
+};
+
 using event = std::variant<tick,
                            message_received,
+                           contacts_found,
                            edit_submitted,
                            read_requested,
                            journal_synced,
@@ -67,7 +79,7 @@
   kAccepted,
   /// Nothing to change; no revision was made.
   kUnchanged,
-  /// Another edit has the base revision.
+  /// Another edit has the base revision, or another label is in force.
   kConflict,
   kInvalid,
   /// Not accepted here; ask the leader.
--- a/Libraries/LibControl/Replica.cpp
+++ b/Libraries/LibControl/Replica.cpp
@@ -167,6 +167,12 @@
              received.mBody);
 }
 
+void
+replica::On(contacts_found const& aEvent)
+{
+  mOptions.mContacts = aEvent.mContacts;
+}
+
 void
 replica::On(journal_synced const& aEvent)
 {
@@ -339,7 +345,18 @@
            mApplied.State().mRevision,
            mIdentity,
            mApplied.State().mGroup,
-           GroupChangeInFlight() };
+           GroupChangeInFlight(),
+           Silence(aNow) };
+}
+
+std::map<core::instance_id, core::duration>
+replica::Silence(core::time_point aNow) const
+{
+  std::map<core::instance_id, core::duration> silence;
+  for (auto const& [instance, progress] : mProgress) {
+    silence[instance] = aNow - std::max(progress.mAcknowledged, mLeadingSince);
+  }
+  return silence;
 }
 
 std::deque<edit_record> const&
--- a/Libraries/LibControl/Replica.h
+++ b/Libraries/LibControl/Replica.h
@@ -85,6 +85,8 @@
   replica_group mGroup;
   /// Set while a change of the group is not committed yet.
   bool mGroupChanging = false;
+  /// On a leader: how long each other member has been silent.
+  std::map<core::instance_id, core::duration> mSilence;
 
   bool operator==(replica_status const&) const = default;
 };
@@ -153,6 +155,7 @@
   void TickLeader();
   void AskToJoin();
   void On(message_received const& aEvent);
+  void On(contacts_found const& aEvent);
   void On(edit_submitted const& aEvent);
   void On(read_requested const& aEvent);
   void On(journal_synced const& aEvent);
@@ -211,6 +214,12 @@
   void ProcessWaitingEdits();
   bool CanEvaluateEdit() const;
   void EvaluateEdit(edit_submitted const& aEvent);
+  /// Fills in aEdit from aReplacement; returns the answer when it is refused
+  /// or was accepted before.
+  std::optional<edit_answer> ResolveReplacement(
+    tables::table_replacement const& aReplacement,
+    tables::edit& aEdit) const;
+  std::optional<edit_answer> AnswerToKnown(tables::edit const& aEdit) const;
   std::optional<edit_answer> RefuseEdit(tables::edit const& aEdit) const;
   std::optional<edit_answer> RefuseChanges(tables::edit const& aEdit) const;
   std::optional<std::string> GroupChangeProblem(
@@ -236,6 +245,8 @@
   // Group and journal.
   /// The group with uncommitted changes, which sets the size of a majority.
   replica_group const& Group() const { return mGroup; }
+  std::map<core::instance_id, core::duration> Silence(
+    core::time_point aNow) const;
   void RecomputeGroup();
   bool GroupChangeInFlight() const;
   /// Whether votes and acknowledgements of this life of aInstance count.
--- a/Libraries/LibControl/ReplicaEdits.cpp
+++ b/Libraries/LibControl/ReplicaEdits.cpp
@@ -58,24 +58,66 @@
 void
 replica::EvaluateEdit(edit_submitted const& aEvent)
 {
-  if (auto refusal = RefuseEdit(aEvent.mEdit)) {
-    AnswerEdit(aEvent.mSubmission, std::move(*refusal));
+  auto edit = aEvent.mEdit;
+  auto answer = aEvent.mReplacement
+                  ? ResolveReplacement(*aEvent.mReplacement, edit)
+                  : std::nullopt;
+  if (!answer) {
+    answer = RefuseEdit(edit);
+  }
+  if (answer) {
+    AnswerEdit(aEvent.mSubmission, std::move(*answer));
     return;
   }
   // Set first, since the append may commit at once.
   mPendingEdit = pending_edit{ mLog.LastIndex() + 1, aEvent.mSubmission };
-  AppendOwn(edit_entry{ aEvent.mEdit });
+  AppendOwn(edit_entry{ std::move(edit) });
+}
+
+std::optional<edit_answer>
+replica::ResolveReplacement(tables::table_replacement const& aReplacement,
+                            tables::edit& aEdit) const
+{
+  if (auto known = AnswerToKnown(aEdit)) {
+    return known;
+  }
+  auto const& current = mApplied.State().mTables;
+  if (aReplacement.mBaseLabel != current.mLabel) {
+    return PlainAnswer(edit_status::kConflict,
+                       "version " + std::to_string(current.mLabel) +
+                         " is in force");
+  }
+  auto wanted = aReplacement.mTables;
+  if (wanted.mLabel <= current.mLabel) {
+    return PlainAnswer(edit_status::kInvalid,
+                       "label: expected more than " +
+                         std::to_string(current.mLabel) + ", found " +
+                         std::to_string(wanted.mLabel));
+  }
+  wanted.mClaimMap = current.mClaimMap;
+  aEdit.mBase = mApplied.State().mRevision;
+  aEdit.mChanges = tables::CompareTables(current, wanted);
+  return std::nullopt;
+}
+
+std::optional<edit_answer>
+replica::AnswerToKnown(tables::edit const& aEdit) const
+{
+  auto const* const known = mApplied.FindEdit(aEdit.mId);
+  if (known == nullptr || !mOptions.mMechanisms.mEditIds) {
+    return std::nullopt;
+  }
+  return edit_answer{
+    edit_status::kAccepted, known->mRevision, known->mId, "", mLeader
+  };
 }
 
 std::optional<edit_answer>
 replica::RefuseEdit(tables::edit const& aEdit) const
 {
   auto const current = mApplied.State().mRevision;
-  auto const* const known = mApplied.FindEdit(aEdit.mId);
-  if (known != nullptr && mOptions.mMechanisms.mEditIds) {
-    return edit_answer{
-      edit_status::kAccepted, known->mRevision, known->mId, "", mLeader
-    };
+  if (auto known = AnswerToKnown(aEdit)) {
+    return known;
   }
   if (aEdit.mId.IsEmpty() || aEdit.mId.mValue.size() > kMaximumEditIdBytes) {
     return PlainAnswer(edit_status::kInvalid,
--- a/Libraries/LibCore/Reasons.cpp
+++ b/Libraries/LibCore/Reasons.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::array<reason_text, kRefusalReasonCount> kRefusalTexts{ {
+  { "no_tables", "The daemon has not received any tables yet." },
   { "no_route", "No row of the route table matches method and path." },
   { "bad_request", "The request is not valid HTTP or lacks what it needs." },
   { "missing_key", "A non-idempotent route was called without a key." },
--- a/Libraries/LibCore/Reasons.h
+++ b/Libraries/LibCore/Reasons.h
@@ -9,6 +9,7 @@
 /// Why a request or call was refused.
 enum class refusal_reason
 {
+  kNoTables,
   kNoRoute,
   kBadRequest,
   kMissingKey,
--- a/Libraries/LibDaemon/AdminApi.cpp
+++ b/Libraries/LibDaemon/AdminApi.cpp
@@ -4,6 +4,8 @@
 #include "LibDaemon/AdminEdits.h"
 #include "LibTables/TableRules.h"
 
+#include <set>
+
 #include <boost/json.hpp>
 
 namespace cranberryfold::daemon {
@@ -73,23 +75,90 @@
                      control_plane& aControl,
                      traffic_policy& aPolicy,
                      metrics& aMetrics,
-                     state_function aState)
+                     state_function aState,
+                     admin_handler aHandler)
   : mContext(aContext)
   , mSettings(aSettings)
   , mControl(aControl)
   , mPolicy(aPolicy)
   , mMetrics(aMetrics)
   , mState(std::move(aState))
-  , mServer(aContext.get_executor(), [this](http::server_exchange& aExchange) {
-    return Handle(aExchange);
-  })
+  , mHandler(std::move(aHandler))
+  , mServer(
+      aContext.get_executor(),
+      [this](http::server_exchange& aExchange) { return Handle(aExchange); })
+  , mReadyServer(
+      aContext.get_executor(),
+      [this](http::server_exchange& aExchange) { return Handle(aExchange); })
 {
 }
 
 core::result<void>
 admin_api::Start()
 {
-  return mServer.Listen(mSettings.mAdminAddress);
+  BOOST_LEAF_CHECK(mServer.Listen(mSettings.mAdminAddress));
+  if (mSettings.mReadyAddress.mPort != 0) {
+    BOOST_LEAF_CHECK(mReadyServer.Listen(mSettings.mReadyAddress));
+  }
+  return {};
+}
+
+void
+admin_api::Stop()
+{
+  mServer.Stop();
+  mReadyServer.Stop();
+}
+
+task<replacement_answer>
+admin_api::ReplaceTables(core::edit_id aId,
+                         tables::table_replacement aReplacement)
+{
+  auto* const replica = mControl.Replica();
+  if (replica == nullptr) {
+    co_return replacement_answer{ control::edit_status::kNotLeader,
+                                  "this instance is no control replica",
+                                  std::nullopt };
+  }
+  auto const answer = co_await AwaitReplacement(mContext,
+                                                *replica,
+                                                std::move(aId),
+                                                std::move(aReplacement),
+                                                kControlTimeout);
+  replacement_answer result{ answer.mStatus, answer.mReason, std::nullopt };
+  if (answer.mStatus == control::edit_status::kNotLeader) {
+    result.mLeader = mControl.LeaderAdminAddress();
+  }
+  co_return result;
+}
+
+task<confirmed_tables>
+admin_api::ReadTables()
+{
+  auto* const replica = mControl.Replica();
+  if (replica == nullptr) {
+    co_return confirmed_tables{};
+  }
+  auto const answer = co_await AwaitRead(mContext, *replica, kControlTimeout);
+  if (!answer || answer->mStale) {
+    co_return confirmed_tables{ std::nullopt, mControl.LeaderAdminAddress() };
+  }
+  co_return confirmed_tables{ answer->mTables, std::nullopt };
+}
+
+std::string
+admin_api::NotReadyReason() const
+{
+  if (!mControl.HasJoined()) {
+    return "not joined: no seed has answered";
+  }
+  if (mPolicy.IsDraining()) {
+    return "draining";
+  }
+  if (!mPolicy.View()->HasRoutes()) {
+    return "no tables yet";
+  }
+  return {};
 }
 
 task<void>
@@ -106,26 +175,32 @@
   if (!read) {
     co_return;
   }
-  auto const head = aExchange.Head();
   http::response response;
   if (isTooLarge) {
     response = TextResponse(kTooLarge, "the body is too large\n");
   } else {
-    response = co_await Respond(head.mMethod, head.mTarget, std::move(body));
+    // GCC 12 destroys a temporary aggregate in a co_await expression twice.
+    http::request request{ aExchange.Head(), std::move(body) };
+    response = co_await Respond(std::move(request));
   }
   co_await aExchange.Respond(response);
 }
 
 task<http::response>
-admin_api::Respond(std::string_view aMethod,
-                   std::string_view aTarget,
-                   std::string aBody)
+admin_api::Respond(http::request aRequest)
 {
-  auto const path = http::PathOf(aTarget);
-  if (aMethod == "POST" && path == "/v1/edits") {
-    co_return co_await SubmitEdit(std::move(aBody));
+  if (mHandler) {
+    auto response = co_await mHandler(aRequest);
+    if (response) {
+      co_return std::move(*response);
+    }
   }
-  if (aMethod != "GET") {
+  std::string_view const target = aRequest.mHead.mTarget;
+  auto const path = http::PathOf(target);
+  if (aRequest.mHead.mMethod == "POST" && path == "/v1/edits") {
+    co_return co_await SubmitEdit(std::move(aRequest.mBody));
+  }
+  if (aRequest.mHead.mMethod != "GET") {
     co_return TextResponse(kNotFound, "no such resource\n");
   }
   if (path == "/metrics") {
@@ -138,7 +213,7 @@
     co_return Ready();
   }
   if (path == "/v1/tables") {
-    co_return co_await Tables(aTarget);
+    co_return co_await Tables(target);
   }
   if (path == "/v1/history") {
     co_return History();
@@ -150,7 +225,7 @@
     co_return Members();
   }
   if (path == "/v1/explain") {
-    co_return Explain(aTarget);
+    co_return Explain(target);
   }
   co_return TextResponse(kNotFound, "no such resource\n");
 }
@@ -325,20 +400,25 @@
 {
   auto const name = std::string(http::FindQuery(aTarget, "route"));
   auto const view = mPolicy.View();
-  auto const route = view->mTables.mRoutes.find(name);
-  if (route == view->mTables.mRoutes.end()) {
+  auto const& tables = view->Tables();
+  auto const route = tables.mRoutes.find(name);
+  if (route == tables.mRoutes.end()) {
     return JsonResponse(kNotFound, { { "error", "no route " + name } });
   }
-  auto const& pool = view->mTables.mPools.at(route->second.mPool);
   // The rows are shown as the tables format writes them.
   tables::table_set rows;
   rows.mRoutes.insert(*route);
-  rows.mPools.emplace(pool.mName, pool);
+  std::set<core::service_id> services;
+  for (auto const& poolName : tables::PoolsOf(route->second)) {
+    auto const& pool = tables.mPools.at(poolName);
+    rows.mPools.emplace(poolName, pool);
+    services.insert(pool.mService);
+  }
   auto const formatted = json::parse(tables::FormatTables(rows)).as_object();
   json::array upstreams;
   std::size_t serving = 0;
   for (auto const& member : mControl.Members()) {
-    if (member.mAnnouncement.mService == pool.mService) {
+    if (services.contains(member.mAnnouncement.mService)) {
       upstreams.push_back(MemberJson(member));
       bool const takesWork = member.mAnnouncement.mLifecycle ==
                              membership::lifecycle_state::kServing;
@@ -347,9 +427,11 @@
   }
   json::array problems;
   if (serving == 0) {
-    auto const text =
-      "no upstream of service " + pool.mService.mValue + " is serving";
-    problems.push_back(json::string(text));
+    for (auto const& service : services) {
+      auto const text =
+        "no upstream of service " + service.mValue + " is serving";
+      problems.push_back(json::string(text));
+    }
   }
   return JsonResponse(kOk,
                       { { "route", formatted.at("routes").at(0) },
--- a/Libraries/LibDaemon/AdminApi.h
+++ b/Libraries/LibDaemon/AdminApi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDaemon/ControlPlane.h"
+#include "LibDaemon/Extension.h"
 #include "LibDaemon/TrafficPolicy.h"
 #include "LibHttp/Server.h"
 
@@ -21,17 +22,23 @@
             control_plane& aControl,
             traffic_policy& aPolicy,
             metrics& aMetrics,
-            state_function aState);
+            state_function aState,
+            admin_handler aHandler);
 
-  /// Opens the listener. Fails with kUnreachable.
+  /// Opens the listeners. Fails with kUnreachable.
   core::result<void> Start();
-  void Stop() { mServer.Stop(); }
+  void Stop();
+
+  // What a platform's calls can ask for (Extension.h).
+  task<replacement_answer> ReplaceTables(
+    core::edit_id aId,
+    tables::table_replacement aReplacement);
+  task<confirmed_tables> ReadTables();
+  std::string NotReadyReason() const;
 
 private:
   task<void> Handle(http::server_exchange& aExchange);
-  task<http::response> Respond(std::string_view aMethod,
-                               std::string_view aTarget,
-                               std::string aBody);
+  task<http::response> Respond(http::request aRequest);
   http::response Ready() const;
   task<http::response> Tables(std::string_view aTarget);
   task<http::response> ConfirmedTables();
@@ -48,7 +55,10 @@
   traffic_policy& mPolicy;
   metrics& mMetrics;
   state_function mState;
+  admin_handler mHandler;
   http::server mServer;
+  /// Serves the same on the listener for readiness.
+  http::server mReadyServer;
 };
 
 }
--- a/Libraries/LibDaemon/AdminEdits.cpp
+++ b/Libraries/LibDaemon/AdminEdits.cpp
@@ -179,6 +179,23 @@
   co_return pending->mAnswer.value_or(control::edit_answer{});
 }
 
+task<control::edit_answer>
+AwaitReplacement(asio::io_context& aContext,
+                 replica_host& aReplica,
+                 core::edit_id aId,
+                 tables::table_replacement aReplacement,
+                 core::duration aTimeout)
+{
+  auto const pending = std::make_shared<pending_answer<control::edit_answer>>(
+    aContext.get_executor());
+  aReplica.SubmitReplacement(
+    std::move(aId),
+    std::move(aReplacement),
+    [pending](control::edit_answer const& aAnswer) { pending->Set(aAnswer); });
+  co_await pending->Wait(aTimeout);
+  co_return pending->mAnswer.value_or(control::edit_answer{});
+}
+
 task<std::optional<control::answer_read>>
 AwaitRead(asio::io_context& aContext,
           replica_host& aReplica,
--- a/Libraries/LibDaemon/AdminEdits.h
+++ b/Libraries/LibDaemon/AdminEdits.h
@@ -31,6 +31,15 @@
           tables::edit aEdit,
           core::duration aTimeout);
 
+/// Submits a replacement of all tables and waits for its answer; kUnknown after
+/// aTimeout.
+task<control::edit_answer>
+AwaitReplacement(asio::io_context& aContext,
+                 replica_host& aReplica,
+                 core::edit_id aId,
+                 tables::table_replacement aReplacement,
+                 core::duration aTimeout);
+
 /// Reads the tables with a majority's confirmation; nothing after aTimeout.
 task<std::optional<control::answer_read>>
 AwaitRead(asio::io_context& aContext,
--- a/Libraries/LibDaemon/CallFrames.h
+++ b/Libraries/LibDaemon/CallFrames.h
@@ -66,6 +66,8 @@
   /// Absent when the length is not known in advance.
   std::optional<std::uint64_t> mContentLength;
   bool mHasBody = false;
+  /// Whether running the call twice does no harm.
+  bool mIsIdempotent = false;
 
   bool operator==(call_head const&) const = default;
 };
--- a/Libraries/LibDaemon/CallFramesCodec.h
+++ b/Libraries/LibDaemon/CallFramesCodec.h
@@ -14,7 +14,11 @@
   aArchive(aContext.mRequest, aContext.mRootDaemon);
   wire::SerializeEnumeration(
     aArchive, aContext.mClass, tables::work_class::kUpload);
-  aArchive(aContext.mCallerHash, aContext.mDepth, aContext.mKey);
+  aArchive(aContext.mCallerHash,
+           aContext.mDepth,
+           aContext.mKey,
+           aContext.mLevel,
+           aContext.mOrigin);
 }
 
 template<class Archive>
@@ -60,7 +64,8 @@
            aFrame.mTarget,
            aFrame.mHeaders,
            aFrame.mContentLength,
-           aFrame.mHasBody);
+           aFrame.mHasBody,
+           aFrame.mIsIdempotent);
 }
 
 template<class Archive>
--- a/Libraries/LibDaemon/CallLink.cpp
+++ b/Libraries/LibDaemon/CallLink.cpp
@@ -62,6 +62,9 @@
   stream->mNotify = std::move(aNotify);
   mStreams[stream->mId] = stream;
   aHead.mStream = stream->mId;
+  if (mChannel && mChannel->IsOpen()) {
+    stream->mConnection = mConnection;
+  }
   Send(aHead);
   return stream;
 }
@@ -112,15 +115,28 @@
   mIsConnecting = false;
   if (!isOpen) {
     mWaiting.clear();
-    EndStreams(traffic::outcome::kNotRun, core::refusal_reason::kConnectFailed);
+    EndStreams(
+      0, traffic::outcome::kNotRun, core::refusal_reason::kConnectFailed);
     co_return;
   }
+  ++mConnection;
   mChannel->Send(mHello);
+  SendWaiting();
+  co_await ReceiveFrames();
+}
+
+void
+call_link::SendWaiting()
+{
   for (auto const& frame : mWaiting) {
     mChannel->Send(frame);
   }
   mWaiting.clear();
-  co_await ReceiveFrames();
+  for (auto const& [id, stream] : mStreams) {
+    if (stream->mConnection == 0) {
+      stream->mConnection = mConnection;
+    }
+  }
 }
 
 task<bool>
@@ -155,6 +171,7 @@
 call_link::ReceiveFrames()
 {
   auto const channel = mChannel;
+  auto const connection = mConnection;
   for (;;) {
     auto frame = co_await channel->Receive();
     if (!frame) {
@@ -168,7 +185,8 @@
     Dispatch(std::move(*frame));
   }
   // The peer may have started any of them.
-  EndStreams(traffic::outcome::kUnknown, core::refusal_reason::kPeerLost);
+  EndStreams(
+    connection, traffic::outcome::kUnknown, core::refusal_reason::kPeerLost);
 }
 
 void
@@ -194,13 +212,21 @@
 }
 
 void
-call_link::EndStreams(traffic::outcome aOutcome, core::refusal_reason aReason)
+call_link::EndStreams(std::uint64_t aConnection,
+                      traffic::outcome aOutcome,
+                      core::refusal_reason aReason)
 {
-  auto const streams = std::move(mStreams);
-  mStreams.clear();
-  for (auto const& [id, stream] : streams) {
+  std::vector<std::shared_ptr<outgoing_stream>> ended;
+  std::erase_if(mStreams, [&](auto const& aEntry) {
+    bool const isEnded = aEntry.second->mConnection == aConnection;
+    if (isEnded) {
+      ended.push_back(aEntry.second);
+    }
+    return isEnded;
+  });
+  for (auto const& stream : ended) {
     stream->mEvents.emplace_back(
-      refusal{ id, stream->mAttempt, aOutcome, aReason });
+      refusal{ stream->mId, stream->mAttempt, aOutcome, aReason });
     stream->mNotify();
   }
 }
--- a/Libraries/LibDaemon/CallLink.h
+++ b/Libraries/LibDaemon/CallLink.h
@@ -20,6 +20,9 @@
   std::deque<call_frame> mEvents;
   /// Bytes of body that the peer accepts now.
   std::uint64_t mCredit = kInitialCreditBytes;
+  /// Number of the connection that the head was given to; 0 while it waits for
+  /// one, so that the peer cannot have seen the call.
+  std::uint64_t mConnection = 0;
   /// Wakes the coroutine that runs the call.
   std::function<void()> mNotify;
 };
@@ -48,7 +51,12 @@
   task<bool> OpenSocket();
   task<void> ReceiveFrames();
   void Dispatch(call_frame aFrame);
-  void EndStreams(traffic::outcome aOutcome, core::refusal_reason aReason);
+  /// Ends the streams whose head was given to aConnection; 0 ends those that
+  /// still wait for a connection.
+  void EndStreams(std::uint64_t aConnection,
+                  traffic::outcome aOutcome,
+                  core::refusal_reason aReason);
+  void SendWaiting();
 
   asio::any_io_executor mExecutor;
   hello mHello;
@@ -59,6 +67,8 @@
   std::vector<call_frame> mWaiting;
   bool mIsConnecting = false;
   bool mIsClosed = false;
+  /// Counts the connections that were opened.
+  std::uint64_t mConnection = 0;
   std::unordered_map<stream_id, std::shared_ptr<outgoing_stream>> mStreams;
   std::uint64_t mLastStream = 0;
 };
--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -12,6 +12,9 @@
 
 /// Covers a round trip between regions; without an answer there is no retry.
 constexpr core::duration kPermitTimeout = std::chrono::milliseconds(200);
+/// Upstreams that a call may move on to after daemons refused it. Under
+/// overload of the whole service, each further one adds a hop for nothing.
+constexpr std::uint32_t kMostFreeMoves = 3;
 
 }
 
@@ -46,7 +49,7 @@
                                {} } };
     }
     auto choice = mServices.mPolicy.Choose(
-      Now(), mRequest.mContext, mRequest.mRoute.mPool, mTried);
+      Now(), mRequest.mContext, mRequest.mPool, mTried);
     call_result result;
     if (auto const* const refused = std::get_if<call_refusal>(&choice)) {
       result.mRefusal = *refused;
@@ -79,12 +82,18 @@
   }
   traffic::retry_facts facts;
   facts.mOutcome = aRefusal.mOutcome;
-  facts.mIdempotent = mRequest.mRoute.mIdempotent;
+  facts.mRefusal = aRefusal.mReason;
+  facts.mIdempotent = mRequest.mRoute->mIdempotent;
   facts.mTimedOut = aRefusal.mReason == refusal_reason::kDeadlineExceeded;
   facts.mAttempts = mAttempts;
   facts.mTimeLeft = mRequest.mContext.mDeadline - Now();
-  auto const decision =
-    mServices.mPolicy.DecideRetry(mRequest.mRoute.mPool, facts);
+  if (traffic::IsFreeMove(facts) && mFreeMoves < kMostFreeMoves) {
+    ++mFreeMoves;
+    mServices.mMetrics.CountRetry(retry_reason::kNotRun);
+    mBody.Rewind();
+    co_return true;
+  }
+  auto const decision = mServices.mPolicy.DecideRetry(mRequest.mPool, facts);
   if (!decision) {
     co_return false;
   }
@@ -143,12 +152,13 @@
   head.mAttempt = mAttempts;
   head.mContext = mRequest.mContext;
   head.mTimeLeft = mRequest.mContext.mDeadline - Now();
-  head.mPool = mRequest.mRoute.mPool;
+  head.mPool = mRequest.mPool;
   head.mMethod = mRequest.mMethod;
   head.mTarget = mRequest.mTarget;
   head.mHeaders = mRequest.mHeaders;
   head.mContentLength = mRequest.mContentLength;
   head.mHasBody = mRequest.mHasBody;
+  head.mIsIdempotent = mRequest.mRoute->mIdempotent;
   return head;
 }
 
@@ -184,7 +194,7 @@
   report.mLatency = Now() - started;
   report.mStamp = mLastStamp;
   report.mBytes = mAttemptBytes;
-  mServices.mPolicy.Report(Now(), mRequest.mRoute.mPool, report);
+  mServices.mPolicy.Report(Now(), mRequest.mPool, report);
   co_return result;
 }
 
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -29,7 +29,11 @@
 struct routed_request
 {
   traffic::call_context mContext;
-  tables::route mRoute;
+  /// Keeps mRoute.
+  std::shared_ptr<tables::route_index const> mTables;
+  tables::route const* mRoute = nullptr;
+  /// The pool of the route that this request goes to.
+  std::string mPool;
   std::string mMethod;
   std::string mTarget;
   std::vector<header_field> mHeaders;
@@ -102,6 +106,7 @@
   std::function<void()> mOnBodyTaken;
   std::vector<core::instance_id> mTried;
   std::uint32_t mAttempts = 0;
+  std::uint32_t mFreeMoves = 0;
   bool mIsAbandoned = false;
   bool mBodyEndSent = false;
   std::optional<traffic::load_stamp> mLastStamp;
--- a/Libraries/LibDaemon/ClaimedCall.cpp
+++ b/Libraries/LibDaemon/ClaimedCall.cpp
@@ -147,10 +147,10 @@
 std::optional<std::string>
 ClaimKeyFor(routed_request const& aRequest)
 {
-  if (aRequest.mRoute.mIdempotent || aRequest.mContext.mKey.empty()) {
+  if (aRequest.mRoute->mIdempotent || aRequest.mContext.mKey.empty()) {
     return std::nullopt;
   }
-  return aRequest.mContext.mKey + "#" + aRequest.mRoute.mName;
+  return aRequest.mContext.mKey + "#" + aRequest.mRoute->mName;
 }
 
 task<call_result>
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -1,12 +1,15 @@
 #include "LibDaemon/ControlPlane.h"
 
 #include "LibControl/Codec.h"
+#include "LibControl/GroupKeeper.h"
 #include "LibCore/Assert.h"
 #include "LibCore/Hash.h"
 #include "LibCore/Log.h"
 #include "LibMembership/Codec.h"
 #include "LibTraffic/ClaimCodec.h"
 
+#include <algorithm>
+
 namespace cranberryfold::daemon {
 
 namespace {
@@ -18,6 +21,10 @@
 /// A new leader waits for announcements, so that the first claim map does not
 /// leave most members out.
 constexpr core::duration kClaimMapDelay = 3s;
+constexpr core::duration kGroupCheckInterval = 250ms;
+/// Timers that are due within this time run together, since each wake-up costs
+/// processor time.
+constexpr core::duration kTimerGrain = 5ms;
 
 membership::announcement
 OwnAnnouncement(daemon_settings const& aSettings)
@@ -151,11 +158,16 @@
     HandleDirectory(membership::tick{});
     HandleDistributor(membership::tick{});
   });
-  mTimers.Every(Now(), kClaimMapInterval, [this](core::time_point) {
-    if (mReplica) {
+  if (mReplica && mSettings.mClaims) {
+    mTimers.Every(Now(), kClaimMapInterval, [this](core::time_point) {
       MaintainClaimMap();
-    }
-  });
+    });
+  }
+  if (mReplica) {
+    mTimers.Every(Now(), kGroupCheckInterval, [this](core::time_point) {
+      MaintainGroup();
+    });
+  }
   mTimers.Every(Now(), kViewCheckInterval, [this](core::time_point) {
     mMetrics.SetGauge("revision",
                       static_cast<double>(mDistributor.Revision().mValue));
@@ -181,7 +193,7 @@
   while (!mIsStopped) {
     mTimers.Advance(Now());
     auto const due = mTimers.NextDue().value_or(Now() + kViewCheckInterval);
-    mTimer.expires_at(ToSteadyClock(due));
+    mTimer.expires_at(ToSteadyClock(std::max(due, Now() + kTimerGrain)));
     co_await mTimer.async_wait(kAsTuple);
   }
 }
@@ -240,9 +252,49 @@
       Send(*send);
       continue;
     }
-    PublishView();
-    HandleDistributor(membership::peers_changed{ mDirectory.Peers() });
+    OnMembersChanged();
+  }
+}
+
+void
+control_plane::OnMembersChanged()
+{
+  PublishView();
+  HandleDistributor(membership::peers_changed{ mDirectory.Peers() });
+  if (mReplica) {
+    mReplica->SetContacts(LiveReplicas());
+  }
+}
+
+std::map<core::instance_id, core::address>
+control_plane::LiveReplicas() const
+{
+  std::map<core::instance_id, core::address> live;
+  for (auto const& member : mDirectory.Members()) {
+    auto const& told = member.mAnnouncement;
+    bool const isLive = member.mState == membership::member_state::kAlive &&
+                        told.mLifecycle != membership::lifecycle_state::kLeft;
+    if (told.mControlReplica && isLive) {
+      live.emplace(told.mInstance, told.mPeerAddress);
+    }
+  }
+  return live;
+}
+
+std::optional<core::address>
+control_plane::LeaderAdminAddress() const
+{
+  auto const leader =
+    mReplica ? mReplica->Status().mLeader : std::optional<core::instance_id>{};
+  if (!leader || *leader == mSettings.mInstance) {
+    return std::nullopt;
   }
+  for (auto const& member : mDirectory.Members()) {
+    if (member.mAnnouncement.mInstance == *leader) {
+      return member.mAnnouncement.mAdminAddress;
+    }
+  }
+  return std::nullopt;
 }
 
 void
@@ -286,9 +338,16 @@
 }
 
 void
-control_plane::SetLifecycle(membership::lifecycle_state aState)
+control_plane::SetOwnState(membership::lifecycle_state aState,
+                           std::optional<std::uint32_t> aSlots)
+{
+  HandleDirectory(membership::own_state_changed{ aState, aSlots });
+}
+
+void
+control_plane::SetSeeds(std::vector<core::address> aSeeds)
 {
-  HandleDirectory(membership::own_state_changed{ aState });
+  HandleDirectory(membership::seeds_changed{ std::move(aSeeds) });
 }
 
 void
@@ -345,8 +404,7 @@
   }
   mLeadsSince = mLeadsSince.value_or(Now());
   bool const isOutdated = mDistributor.Revision() != status.mRevision;
-  if (Now() < *mLeadsSince + kClaimMapDelay || mIsClaimMapPending ||
-      isOutdated) {
+  if (Now() < *mLeadsSince + kClaimMapDelay || isOutdated) {
     return;
   }
   auto const tables = mDistributor.Tables();
@@ -362,15 +420,42 @@
   if (!proposed) {
     return;
   }
-  tables::edit change;
-  change.mId = { "system/claim-map/" + std::to_string(proposed->mEpoch.mValue) +
-                 "/" + std::to_string(status.mTerm) };
-  change.mBase = status.mRevision;
-  change.mChanges.emplace_back(
+  ProposeSystemEdit(
+    "claim-map/" + std::to_string(proposed->mEpoch.mValue),
     tables::put_claim_map{ traffic::EncodeClaimMap(*proposed) });
-  mIsClaimMapPending = true;
-  mReplica->SubmitEdit(std::move(change), [this](control::edit_answer const&) {
-    mIsClaimMapPending = false;
+}
+
+void
+control_plane::MaintainGroup()
+{
+  auto const status = mReplica->Status();
+  if (status.mRole != control::replica_role::kLeader || !status.mLeaseValid) {
+    return;
+  }
+  auto change = control::ProposeGroupChange(status, LiveReplicas());
+  if (change) {
+    ProposeSystemEdit("group/" + std::to_string(status.mLastIndex),
+                      std::move(*change));
+  }
+}
+
+void
+control_plane::ProposeSystemEdit(std::string aName, tables::change aChange)
+{
+  if (mIsSystemEditPending) {
+    return;
+  }
+  auto const status = mReplica->Status();
+  tables::edit edit;
+  edit.mId = { "system/" + aName + "/" + std::to_string(status.mTerm) };
+  edit.mBase = status.mRevision;
+  edit.mChanges.push_back(std::move(aChange));
+  core::LogInfo("system_edit_proposed")
+    .Field("edit", edit.mId.mValue)
+    .Field("revision", static_cast<std::int64_t>(edit.mBase.mValue));
+  mIsSystemEditPending = true;
+  mReplica->SubmitEdit(std::move(edit), [this](control::edit_answer const&) {
+    mIsSystemEditPending = false;
   });
 }
 
@@ -383,11 +468,14 @@
 void
 control_plane::PublishView()
 {
+  auto const tables = mDistributor.Tables();
+  if (tables && (!mIndex || mIndexRevision != mDistributor.Revision())) {
+    mIndex = std::make_shared<tables::route_index const>(tables);
+    mIndexRevision = mDistributor.Revision();
+  }
   auto view = std::make_shared<routing_view>();
   view->mRevision = mDistributor.Revision();
-  if (auto const tables = mDistributor.Tables()) {
-    view->mTables = *tables;
-  }
+  view->mRoutes = mIndex;
   for (auto const& member : mDirectory.Members()) {
     view->mMembers.push_back(ToRoutingMember(member));
   }
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -42,7 +42,10 @@
 
   /// Takes an envelope that came by TCP.
   void OnStreamEnvelope(std::string_view aBytes);
-  void SetLifecycle(membership::lifecycle_state aState);
+  /// Announces the state of the own instance and the slots of its upstream.
+  void SetOwnState(membership::lifecycle_state aState,
+                   std::optional<std::uint32_t> aSlots);
+  void SetSeeds(std::vector<core::address> aSeeds);
   /// Peers that sent work lately; a drain is pushed to them.
   void NoteSenders(std::vector<core::address> aSenders);
   /// Tells the control replicas in which shards the own holder votes although
@@ -55,6 +58,9 @@
     return mDistributor;
   }
   bool HasJoined() const { return mDirectory.HasJoined(); }
+  /// Operators' listener of the control leader, when it is another instance and
+  /// known here.
+  std::optional<core::address> LeaderAdminAddress() const;
   /// Null unless the daemon is a control replica.
   replica_host* Replica() const { return mReplica.get(); }
   core::timer_service& Timers() { return mTimers; }
@@ -68,6 +74,13 @@
   void SendToReplica(core::instance_id const& aTo,
                      control::message const& aMessage);
   void PublishView();
+  void OnMembersChanged();
+  /// Live instances that can be control replicas, by their peer addresses.
+  std::map<core::instance_id, core::address> LiveReplicas() const;
+  /// On the leader: keeps the control group at full strength.
+  void MaintainGroup();
+  /// Proposes an edit of the system itself; one at a time.
+  void ProposeSystemEdit(std::string aName, tables::change aChange);
   /// On the leader: proposes a claim map that fits the members.
   void MaintainClaimMap();
   std::vector<traffic::claim_member> ClaimMembers() const;
@@ -83,7 +96,10 @@
   membership::configuration_distributor mDistributor;
   std::unique_ptr<replica_host> mReplica;
   claim_map_keeper mClaimMapKeeper;
-  bool mIsClaimMapPending = false;
+  bool mIsSystemEditPending = false;
+  /// Made from the tables of mIndexRevision.
+  std::shared_ptr<tables::route_index const> mIndex;
+  core::revision mIndexRevision;
   /// Since when this replica has led without a break.
   std::optional<core::time_point> mLeadsSince;
   bool mIsStopped = false;
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -13,7 +13,12 @@
 using namespace std::chrono_literals;
 
 constexpr auto kHealthInterval = 250ms;
-constexpr core::duration kAdmissionTick = 10ms;
+/// Lets admission forget an overload while no calls arrive. Waiting calls end
+/// by timers of their own.
+constexpr core::duration kAdmissionTick = 100ms;
+/// The settings file may change without a signal.
+constexpr core::duration kSettingsCheckInterval = 5s;
+constexpr core::duration kUpstreamCheckInterval = 1s;
 constexpr core::duration kClaimTick = 100ms;
 constexpr core::duration kActivationInterval = 1s;
 constexpr core::duration kSenderInterval = 1s;
@@ -42,6 +47,9 @@
 membership::lifecycle_state
 ToLifecycle(std::string const& aState)
 {
+  if (aState == "upstream_draining") {
+    return membership::lifecycle_state::kDraining;
+  }
   for (auto const state : { membership::lifecycle_state::kStarting,
                             membership::lifecycle_state::kServing,
                             membership::lifecycle_state::kDraining,
@@ -55,8 +63,9 @@
 
 }
 
-mesh_daemon::mesh_daemon(daemon_settings aSettings)
+mesh_daemon::mesh_daemon(daemon_settings aSettings, daemon_extension aExtension)
   : mSettings(std::move(aSettings))
+  , mExtension(std::move(aExtension))
   , mPolicy(mSettings, Now(), SeedFor(mSettings))
   , mMessenger([this](core::address const& aTo, traffic_message aMessage) {
     auto& thread = *mThreads.front();
@@ -67,19 +76,35 @@
   })
   , mClaims(SelfAsHolder(mSettings), Now(), SeedFor(mSettings), mMessenger)
   , mQuarantine(SelfAsHolder(mSettings), mMessenger)
-  , mSignals(mContext, SIGTERM, SIGINT)
+  , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
   , mControl(mContext,
              mSettings,
              mMetrics,
              [this](std::shared_ptr<routing_view const> aView) {
                OnView(std::move(aView));
              })
-  , mAdmin(mContext, mSettings, mControl, mPolicy, mMetrics, [this] {
-    return mLifecycle->State();
-  })
+  , mUpstream(mSettings.mUpstream.mAddress, mSettings.mUpstream.mService)
+  , mSeeds(mSettings.mSeeds)
+  , mAdmin(
+      mContext,
+      mSettings,
+      mControl,
+      mPolicy,
+      mMetrics,
+      [this] { return mLifecycle->State(); },
+      MakeAdminHandler())
 {
-  shared_services const shared{ mSettings, mPolicy, mMetrics,   mPermits,
-                                mRequests, mClaims, mQuarantine };
+  auto const onUpstreamLost = [this] {
+    asio::post(mContext, [this] {
+      mUpstream.NoteLost();
+      ApplyUpstreamFacts();
+    });
+  };
+  shared_services const shared{ mSettings,     mPolicy,
+                                mMetrics,      mPermits,
+                                mRequests,     mClaims,
+                                mQuarantine,   mExtension.mDialect,
+                                onUpstreamLost };
   for (std::uint32_t index = 0; index < mSettings.mTrafficThreads; ++index) {
     mThreads.push_back(std::make_unique<traffic_thread>(shared));
     mThreads.back()->SetPeerHooks(MakePeerHooks(*mThreads.back()));
@@ -107,16 +132,17 @@
                                    mSettings.mMaximumConnections,
                                    std::move(aServe)) });
   };
-  add(mSettings.mCallerAddress,
-      [](traffic_thread& aThread, tcp::socket aSocket) {
-        return ServeHttp(
-          aThread.Http(), listener_kind::kCaller, std::move(aSocket));
-      });
-  add(mSettings.mEgressAddress,
-      [](traffic_thread& aThread, tcp::socket aSocket) {
-        return ServeHttp(
-          aThread.Http(), listener_kind::kEgress, std::move(aSocket));
-      });
+  auto const addHttp = [&add](core::address const& aAddress,
+                              listener_kind aKind) {
+    if (aAddress.mPort == 0) {
+      return;
+    }
+    add(aAddress, [aKind](traffic_thread& aThread, tcp::socket aSocket) {
+      return ServeHttp(aThread.Http(), aKind, std::move(aSocket));
+    });
+  };
+  addHttp(mSettings.mCallerAddress, listener_kind::kCaller);
+  addHttp(mSettings.mEgressAddress, listener_kind::kEgress);
   add(mSettings.mPeerAddress, [](traffic_thread& aThread, tcp::socket aSocket) {
     return ServePeer(
       aThread.Incoming(), aThread.PeerHooks(), std::move(aSocket));
@@ -137,7 +163,7 @@
     }
   }
   mQuarantine.SetPeers(Now(), std::move(peers));
-  InstallClaimMap(aView->mTables.mClaimMap);
+  InstallClaimMap(aView->Tables().mClaimMap);
   mPolicy.SetView(Now(), std::move(aView));
 }
 
@@ -262,23 +288,133 @@
     mPolicy.Tick(aNow);
   });
   timers.Every(Now(), kClaimTick, [this](core::time_point aNow) {
-    mClaims.Tick(aNow);
     mQuarantine.Tick(aNow);
   });
-  timers.Every(Now(), kActivationInterval, [this](core::time_point) {
-    mControl.ReportActivations(mClaims.ActivatedShards());
-  });
+  if (mSettings.mClaims) {
+    timers.Every(
+      Now(), kClaimTick, [this](core::time_point aNow) { mClaims.Tick(aNow); });
+    timers.Every(Now(), kActivationInterval, [this](core::time_point) {
+      mControl.ReportActivations(mClaims.ActivatedShards());
+    });
+  }
+  if (mExtension.mLoadSettings) {
+    timers.Every(Now() + kSettingsCheckInterval,
+                 kSettingsCheckInterval,
+                 [this](core::time_point) { ReloadSettings(); });
+  }
   timers.Every(Now(), kSenderInterval, [this](core::time_point) {
     mControl.NoteSenders(mPolicy.TakeSenders());
     mMetrics.SetGauge("calls_in_flight",
                       static_cast<double>(mPolicy.CallsInFlight()));
   });
-  asio::co_spawn(
-    mContext, [this] { return WatchUpstream(); }, asio::detached);
+  if (mSettings.HasUpstream() && mSettings.mUpstream.mReportsItself) {
+    timers.Every(Now(), kUpstreamCheckInterval, [this](core::time_point aNow) {
+      if (mUpstream.ExpireSilence(aNow)) {
+        ApplyUpstreamFacts();
+      }
+    });
+  } else if (mSettings.HasUpstream()) {
+    asio::co_spawn(
+      mContext, [this] { return WatchUpstream(); }, asio::detached);
+  }
   asio::co_spawn(
     mContext, [this] { return WatchSignals(); }, asio::detached);
 }
 
+admin_handler
+mesh_daemon::MakeAdminHandler()
+{
+  if (!mExtension.mMakeAdminHandler) {
+    return {};
+  }
+  return mExtension.mMakeAdminHandler({
+    [this](core::edit_id aId, tables::table_replacement aReplacement) {
+      return mAdmin.ReplaceTables(std::move(aId), std::move(aReplacement));
+    },
+    [this] { return mAdmin.ReadTables(); },
+    [this](membership::upstream_report const& aReport) {
+      return ReportUpstream(aReport);
+    },
+    [this] { return mAdmin.NotReadyReason(); },
+  });
+}
+
+std::optional<membership::report_outcome>
+mesh_daemon::ReportUpstream(membership::upstream_report const& aReport)
+{
+  if (!mSettings.HasUpstream()) {
+    return std::nullopt;
+  }
+  auto const outcome = mUpstream.Handle(Now(), aReport);
+  if (outcome != membership::report_outcome::kAccepted) {
+    core::LogWarning("upstream_report_ignored")
+      .Field("upstream", aReport.mId.mValue)
+      .Field("sequence", static_cast<std::int64_t>(aReport.mSequence))
+      .Field("reason", membership::ReportOutcomeName(outcome));
+  }
+  ApplyUpstreamFacts();
+  return outcome;
+}
+
+void
+mesh_daemon::ApplyUpstreamFacts()
+{
+  auto const facts = mUpstream.Facts();
+  if (facts == mAppliedUpstream) {
+    return;
+  }
+  bool const isOtherProcess = facts.mId != mAppliedUpstream.mId;
+  bool const hasOtherSlots = facts.mSlots != mAppliedUpstream.mSlots;
+  bool const isOtherState = facts.mLifecycle != mAppliedUpstream.mLifecycle;
+  mAppliedUpstream = facts;
+  if (isOtherProcess || isOtherState) {
+    core::LogInfo("upstream_changed")
+      .Field("upstream", facts.mId.mValue)
+      .Field("state", membership::LifecycleStateName(facts.mLifecycle))
+      .Field("slots", facts.mSlots);
+  }
+  if (isOtherProcess) {
+    for (auto const& thread : mThreads) {
+      thread->Post([&pool = thread->Upstreams()] { pool.CloseIdle(); });
+    }
+  }
+  // Work is refused before the others learn of a drain, and taken only after
+  // they know of a start.
+  mPolicy.SetUpstream(Now(), facts);
+  switch (facts.mLifecycle) {
+    case membership::lifecycle_state::kServing:
+      mLifecycle->Fire("upstream_ready");
+      break;
+    case membership::lifecycle_state::kDraining:
+      mLifecycle->Fire("upstream_leaving");
+      break;
+    default:
+      mLifecycle->Fire("upstream_lost");
+      break;
+  }
+  if (hasOtherSlots) {
+    Announce();
+  }
+}
+
+void
+mesh_daemon::ReloadSettings()
+{
+  auto const loaded = core::Attempt(mExtension.mLoadSettings);
+  if (!loaded) {
+    core::LogError("settings_not_reloaded")
+      .Field("error", core::FormatError(loaded.mError));
+    return;
+  }
+  if (loaded->mSeeds == mSeeds) {
+    return;
+  }
+  mSeeds = loaded->mSeeds;
+  core::LogInfo("settings_reloaded")
+    .Field("seeds", static_cast<std::int64_t>(mSeeds.size()));
+  mControl.SetSeeds(mSeeds);
+}
+
 void
 mesh_daemon::Run()
 {
@@ -307,12 +443,15 @@
   auto const before = mLifecycle->State();
   // A health endpoint may mislead: a bad status keeps a new upstream from
   // getting work, but only a refused connection takes work away.
+  membership::upstream_facts facts;
+  facts.mSlots = mSettings.mUpstream.mSlots;
   if (aStatus == kHealthy) {
+    facts.mLifecycle = membership::lifecycle_state::kServing;
     mLifecycle->Fire("upstream_ready");
-    mPolicy.SetUpstreamReady(Now(), true);
+    mPolicy.SetUpstream(Now(), facts);
   } else if (aStatus == 0) {
     mLifecycle->Fire("upstream_lost");
-    mPolicy.SetUpstreamReady(Now(), false);
+    mPolicy.SetUpstream(Now(), facts);
   }
   if (mLifecycle->State() != before) {
     core::LogInfo("lifecycle_changed")
@@ -324,18 +463,30 @@
 void
 mesh_daemon::Announce()
 {
-  mControl.SetLifecycle(ToLifecycle(mLifecycle->State()));
+  auto const slots = mAppliedUpstream.mSlots == 0
+                       ? std::optional<std::uint32_t>{}
+                       : mAppliedUpstream.mSlots;
+  mControl.SetOwnState(ToLifecycle(mLifecycle->State()), slots);
 }
 
 task<void>
 mesh_daemon::WatchSignals()
 {
-  auto const [code, number] = co_await mSignals.async_wait(kAsTuple);
-  if (code) {
-    co_return;
+  for (;;) {
+    auto const [code, number] = co_await mSignals.async_wait(kAsTuple);
+    if (code) {
+      co_return;
+    }
+    if (number != SIGHUP) {
+      core::LogInfo("stop_requested").Field("signal", number);
+      mLifecycle->Fire("stop_requested");
+      co_return;
+    }
+    core::LogInfo("reload_requested");
+    if (mExtension.mLoadSettings) {
+      ReloadSettings();
+    }
   }
-  core::LogInfo("stop_requested").Field("signal", number);
-  mLifecycle->Fire("stop_requested");
 }
 
 void
@@ -353,11 +504,14 @@
   auto const started = Now();
   auto const end =
     started + std::chrono::milliseconds(mSettings.mDrainGraceMilliseconds);
+  core::duration const serveTime =
+    std::chrono::milliseconds(mSettings.mDrainServeMilliseconds);
+  auto const earliest = started + std::max(kLeastDrainTime, serveTime);
   asio::steady_timer pause(mContext);
   for (;;) {
     auto const now = Now();
     bool const isIdle = mPolicy.CallsInFlight() == 0 && mRequests.load() == 0;
-    if (isIdle && now >= started + kLeastDrainTime) {
+    if (isIdle && now >= earliest) {
       mLifecycle->Fire("idle");
       co_return;
     }
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "LibDaemon/AdminApi.h"
 #include "LibDaemon/CallServer.h"
 #include "LibDaemon/ControlPlane.h"
+#include "LibDaemon/Extension.h"
 #include "LibDaemon/HttpServer.h"
 #include "LibDaemon/TrafficThread.h"
 
@@ -21,7 +22,8 @@
 class mesh_daemon
 {
 public:
-  explicit mesh_daemon(daemon_settings aSettings);
+  explicit mesh_daemon(daemon_settings aSettings,
+                       daemon_extension aExtension = {});
   ~mesh_daemon();
 
   /// Opens all listeners. aBootstrap starts a new control group on an empty
@@ -45,6 +47,12 @@
   void Announce();
   void StartGrace();
   void Stop();
+  admin_handler MakeAdminHandler();
+  std::optional<membership::report_outcome> ReportUpstream(
+    membership::upstream_report const& aReport);
+  void ApplyUpstreamFacts();
+  /// Takes over what may change while the daemon runs: the seeds.
+  void ReloadSettings();
   task<void> WatchUpstream();
   task<void> WatchSignals();
   task<void> WaitUntilIdle();
@@ -59,6 +67,7 @@
   void InstallClaimMap(std::string const& aEncoded);
 
   daemon_settings mSettings;
+  daemon_extension mExtension;
   metrics mMetrics;
   traffic_policy mPolicy;
   permit_exchange mPermits;
@@ -70,6 +79,9 @@
   asio::signal_set mSignals;
   control_plane mControl;
   std::optional<core::state_machine> mLifecycle;
+  membership::upstream_tracker mUpstream;
+  membership::upstream_facts mAppliedUpstream;
+  std::vector<core::address> mSeeds;
   admin_api mAdmin;
   std::vector<std::unique_ptr<traffic_thread>> mThreads;
   std::vector<bound_listener> mListeners;
--- a/Libraries/LibDaemon/HttpFields.cpp
+++ b/Libraries/LibDaemon/HttpFields.cpp
@@ -6,6 +6,9 @@
 #include <array>
 #include <charconv>
 
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
 namespace cranberryfold::daemon {
 
 namespace {
@@ -23,13 +26,6 @@
 constexpr int kHexadecimal = 16;
 constexpr int kDecimal = 10;
 
-bool
-StartsWithPrefix(std::string_view aName)
-{
-  return boost::beast::iequals(aName.substr(0, header::kPrefix.size()),
-                               header::kPrefix);
-}
-
 template<class Number>
 std::optional<Number>
 ParseNumber(std::string_view aText, int aBase)
@@ -64,15 +60,38 @@
   return { found->value().data(), found->value().size() };
 }
 
+bool
+HasOwnPrefix(std::string_view aName)
+{
+  return boost::beast::iequals(aName.substr(0, header::kPrefix.size()),
+                               header::kPrefix);
+}
+
+void
+SetField(http::fields& aFields, std::string_view aName, std::string_view aValue)
+{
+  aFields.set({ aName.data(), aName.size() }, { aValue.data(), aValue.size() });
+}
+
+std::optional<std::int64_t>
+ParseDecimal(std::string_view aText)
+{
+  return ParseNumber<std::int64_t>(aText, kDecimal);
+}
+
 std::vector<header_field>
-EndToEndHeaders(http::fields const& aFields)
+EndToEndHeaders(http::fields const& aFields,
+                std::function<bool(std::string_view)> const& aIsOwn)
 {
+  http::token_list named{ aFields[http::field::connection] };
   std::vector<header_field> headers;
   for (auto const& field : aFields) {
     bool const isHopByHop =
       std::find(kHopByHop.begin(), kHopByHop.end(), field.name()) !=
       kHopByHop.end();
-    if (isHopByHop || StartsWithPrefix(field.name_string())) {
+    std::string_view const name(field.name_string().data(),
+                                field.name_string().size());
+    if (isHopByHop || aIsOwn(name) || named.exists(field.name_string())) {
       continue;
     }
     headers.push_back(
@@ -95,8 +114,7 @@
              core::time_point aNow)
 {
   auto const set = [&aFields](std::string_view aName, std::string_view aValue) {
-    aFields.set({ aName.data(), aName.size() },
-                { aValue.data(), aValue.size() });
+    SetField(aFields, aName, aValue);
   };
   auto const left =
     std::max<std::int64_t>(0, core::Milliseconds(aContext.mDeadline - aNow));
--- a/Libraries/LibDaemon/HttpFields.h
+++ b/Libraries/LibDaemon/HttpFields.h
@@ -5,7 +5,10 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -30,10 +33,25 @@
 
 }
 
-/// Copies the end-to-end headers. Hop-by-hop headers and the context of this
-/// system stay behind.
+/// Whether a header is one of this system's own.
+bool
+HasOwnPrefix(std::string_view aName);
+
+/// Copies the end-to-end headers. Hop-by-hop headers stay behind, also those
+/// that the connection header names, and what aIsOwn names.
 std::vector<header_field>
-EndToEndHeaders(boost::beast::http::fields const& aFields);
+EndToEndHeaders(boost::beast::http::fields const& aFields,
+                std::function<bool(std::string_view)> const& aIsOwn);
+
+/// Replaces a header.
+void
+SetField(boost::beast::http::fields& aFields,
+         std::string_view aName,
+         std::string_view aValue);
+
+/// Parses a whole decimal number; nothing when there is anything else.
+std::optional<std::int64_t>
+ParseDecimal(std::string_view aText);
 
 /// Adds headers to a message.
 void
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -4,7 +4,6 @@
 #include "LibCore/Log.h"
 #include "LibDaemon/ClaimedCall.h"
 #include "LibDaemon/HttpFields.h"
-#include "LibTables/TableRules.h"
 
 #include <array>
 
@@ -21,37 +20,19 @@
 using core::refusal_reason;
 using traffic::outcome;
 
-constexpr std::uint32_t kMaximumHeaderBytes = 16U * 1024U;
-constexpr auto kIdleTimeout = 60s;
 constexpr std::size_t kReadBytes = 16UL * 1024UL;
-constexpr std::size_t kRequestIdBytes = 16;
+/// Time beyond the deadline for a caller that reads its answer slowly.
+constexpr core::duration kSlowReaderTime = 10s;
+/// Time for the rest of a body that is no longer needed. Closing before it has
+/// arrived would reset the connection and lose the answer.
+constexpr auto kDiscardTime = 2s;
+/// Suggested wait of a caller while the daemon has no tables or is leaving.
+constexpr core::duration kNotReadyRetryAfter = 500ms;
 
 using request_parser = http::request_parser<http::buffer_body>;
 using answer_message = http::response<http::buffer_body>;
 using answer_serializer = http::response_serializer<http::buffer_body>;
 
-/// The status that a caller sees for a request without an answer.
-http::status
-StatusFor(call_refusal const& aRefusal)
-{
-  if (aRefusal.mReason == refusal_reason::kNoRoute) {
-    return http::status::not_found;
-  }
-  if (aRefusal.mReason == refusal_reason::kBadRequest ||
-      aRefusal.mReason == refusal_reason::kMissingKey) {
-    return http::status::bad_request;
-  }
-  if (aRefusal.mOutcome == outcome::kNotRun) {
-    return http::status::service_unavailable;
-  }
-  if (aRefusal.mReason == refusal_reason::kClaimHeld) {
-    return http::status::conflict;
-  }
-  return aRefusal.mReason == refusal_reason::kDeadlineExceeded
-           ? http::status::gateway_timeout
-           : http::status::bad_gateway;
-}
-
 /// Beast reports as an error that it wants the next part of the body.
 bool
 IsWritten(beast::error_code aCode)
@@ -89,19 +70,14 @@
   {
     bool keepAlive = true;
     while (keepAlive) {
-      mParser.emplace();
-      mParser->header_limit(kMaximumHeaderBytes);
-      mParser->body_limit(boost::none);
-      mStream.expires_after(kIdleTimeout);
-      auto const [code, size] =
-        co_await http::async_read_header(mStream, mBuffer, *mParser, kAsTuple);
-      if (code) {
-        CountDamage(code);
+      auto const limits = Outgoing().mPolicy.View()->Tables().mLimits;
+      // GCC 12 evaluates a co_await within && or a condition more than once.
+      bool const hasRequest = co_await WaitForRequest(limits);
+      if (!hasRequest) {
         break;
       }
-      mStream.expires_never();
       ++mServices.mRequests;
-      keepAlive = co_await Serve();
+      keepAlive = co_await ServeNext(limits);
       --mServices.mRequests;
     }
     beast::error_code ignored;
@@ -112,27 +88,86 @@
 private:
   outgoing_services& Outgoing() { return mServices.mOutgoing; }
 
-  void CountDamage(beast::error_code aCode)
+  /// Waits for the first bytes of a request. Returns false when there is none.
+  task<bool> WaitForRequest(tables::caller_limits const& aLimits)
+  {
+    if (mBuffer.size() > 0) {
+      co_return true;
+    }
+    mStream.expires_after(
+      std::chrono::milliseconds(aLimits.mIdleTimeoutMilliseconds));
+    auto const [code, size] =
+      co_await mStream.async_read_some(mBuffer.prepare(kReadBytes), kAsTuple);
+    mBuffer.commit(size);
+    co_return !code;
+  }
+
+  /// Reads and serves one request. Returns whether the connection can be used
+  /// again.
+  task<bool> ServeNext(tables::caller_limits const& aLimits)
+  {
+    mParser.emplace();
+    mIsTooLarge = false;
+    mHasContinued = false;
+    mParser->header_limit(aLimits.mHeaderBytes);
+    if (aLimits.mBodyBytes == 0) {
+      mParser->body_limit(boost::none);
+    } else {
+      mParser->body_limit(aLimits.mBodyBytes);
+    }
+    mStream.expires_after(
+      std::chrono::milliseconds(aLimits.mHeaderTimeoutMilliseconds));
+    auto const [code, size] =
+      co_await http::async_read_header(mStream, mBuffer, *mParser, kAsTuple);
+    mStream.expires_never();
+    if (code) {
+      co_await RejectHeader(code);
+      co_return false;
+    }
+    co_return co_await Serve();
+  }
+
+  /// Answers a header that could not be read, where there is one.
+  task<void> RejectHeader(beast::error_code aCode)
   {
-    bool const isDamage =
+    bool const isHttpError =
       aCode.category() ==
-        http::make_error_code(http::error::bad_method).category() &&
-      aCode != http::error::end_of_stream;
-    if (isDamage) {
-      Outgoing().mMetrics.CountRefusal(refusal_place::kListener,
-                                       refusal_reason::kMalformed);
+      http::make_error_code(http::error::bad_method).category();
+    auto status = http::status::bad_request;
+    if (aCode == beast::error::timeout) {
+      status = http::status::request_timeout;
+    } else if (aCode == http::error::header_limit) {
+      status = http::status::request_header_fields_too_large;
+    } else if (aCode == http::error::body_limit) {
+      status = http::status::payload_too_large;
+    } else if (!isHttpError || aCode == http::error::end_of_stream ||
+               aCode == http::error::partial_message) {
+      co_return;
     }
+    Outgoing().mMetrics.CountRefusal(refusal_place::kListener,
+                                     refusal_reason::kMalformed);
+    core::LogWarning("request_rejected")
+      .Field("status", static_cast<std::int64_t>(status))
+      .Field("error", aCode.message());
+    http::response<http::string_body> response(status, kFirstChunkedVersion);
+    response.keep_alive(false);
+    response.prepare_payload();
+    mStream.expires_after(kDiscardTime);
+    co_await http::async_write(mStream, response, kAsTuple);
   }
 
-  /// Serves the request whose header was read. Returns whether the connection
-  /// can be used again.
   task<bool> Serve()
   {
     auto const view = Outgoing().mPolicy.View();
     auto const& message = mParser->get();
     auto const method = std::string(message.method_string());
     auto const target = std::string(message.target());
-    auto const* const route = tables::FindRoute(view->mTables, method, target);
+    if (!view->HasRoutes()) {
+      co_return co_await Refuse(
+        { outcome::kNotRun, refusal_reason::kNoTables, kNotReadyRetryAfter });
+    }
+    auto const host = FieldValue(message, "host");
+    auto const* const route = view->mRoutes->Find(host, method, target);
     if (route == nullptr) {
       co_return co_await Refuse(
         { outcome::kNotRun, refusal_reason::kNoRoute, {} });
@@ -143,10 +178,13 @@
     }
     mClass = context.mClass;
     routed_request request{ context,
-                            *route,
+                            view->mRoutes,
+                            route,
+                            Outgoing().mPolicy.ChoosePool(*route),
                             method,
                             target,
-                            EndToEndHeaders(message),
+                            EndToEndHeaders(message,
+                                            mServices.mDialect.mIsOwnHeader),
                             std::nullopt,
                             !mParser->is_done() };
     if (auto const length = mParser->content_length()) {
@@ -155,32 +193,69 @@
     co_return co_await RunRequest(std::move(request));
   }
 
+  /// Whether the request comes from the own upstream.
+  bool IsNested()
+  {
+    if (mKind == listener_kind::kEgress) {
+      return true;
+    }
+    if (!Outgoing().mSettings.mSharesCallerListener) {
+      return false;
+    }
+    beast::error_code code;
+    auto const remote = mStream.socket().remote_endpoint(code);
+    auto const local = mStream.socket().local_endpoint(code);
+    return !code && (remote.address() == local.address() ||
+                     remote.address().is_loopback());
+  }
+
   traffic::call_context MakeContext(tables::route const& aRoute)
   {
     auto const now = Now();
     auto const& message = mParser->get();
-    if (mKind == listener_kind::kEgress) {
-      if (auto context = ReadContext(message, now)) {
+    mIsNested = IsNested();
+    if (mIsNested) {
+      if (auto context = mServices.mDialect.mReadContext(message, now)) {
         ++context->mDepth;
         return *context;
       }
     }
+    auto const facts = mServices.mDialect.mReadCaller(message);
+    core::duration const timeout =
+      std::chrono::milliseconds(aRoute.mTimeoutMilliseconds);
     traffic::call_context context;
-    context.mRequest = { MakeRequestId(Outgoing().mSettings.mInstance) };
+    context.mRequest = facts.mRequest;
+    if (context.mRequest.IsEmpty()) {
+      context.mRequest = { MakeRequestId(Outgoing().mSettings.mInstance) };
+    }
     context.mRootDaemon = Outgoing().mSettings.mPeerAddress;
     context.mDeadline =
-      now + std::chrono::milliseconds(aRoute.mTimeoutMilliseconds);
+      now + std::min(timeout, facts.mTimeLeft.value_or(timeout));
     context.mClass = aRoute.mClass;
-    context.mCallerHash = HashCaller();
-    context.mKey = FieldValue(message, header::kKey);
+    context.mLevel = LevelOf(aRoute);
+    context.mCallerHash = HashCaller(facts.mCaller);
+    context.mKey = Outgoing().mSettings.mClaims ? facts.mKey : std::string();
+    context.mOrigin = Outgoing().mSettings.mUpstream.mService;
     return context;
   }
 
-  std::uint64_t HashCaller()
+  /// A call of work that is in progress comes before new work: refusing it
+  /// wastes what has been done.
+  std::optional<std::uint32_t> LevelOf(tables::route const& aRoute) const
+  {
+    if (mIsNested) {
+      return static_cast<std::uint32_t>(tables::kNestedCallLevel);
+    }
+    if (!aRoute.mRank) {
+      return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(tables::ShedLevelOfRank(*aRoute.mRank));
+  }
+
+  std::uint64_t HashCaller(std::string const& aCaller)
   {
-    auto const id = FieldValue(mParser->get(), header::kCallerId);
-    if (!id.empty()) {
-      return core::Hash64(id);
+    if (!aCaller.empty()) {
+      return core::Hash64(aCaller);
     }
     beast::error_code code;
     auto const remote = mStream.socket().remote_endpoint(code);
@@ -190,19 +265,19 @@
   std::optional<call_refusal> CheckContext(
     traffic::call_context const& aContext)
   {
-    auto const notRun = [](refusal_reason aReason) {
-      return call_refusal{ outcome::kNotRun, aReason, {} };
+    auto const notRun = [](refusal_reason aReason, core::duration aRetryAfter) {
+      return call_refusal{ outcome::kNotRun, aReason, aRetryAfter };
     };
     if (aContext.mDepth > Outgoing().mSettings.mMaximumDepth) {
-      return notRun(refusal_reason::kTooDeep);
+      return notRun(refusal_reason::kTooDeep, {});
     }
     if (aContext.mDeadline <= Now()) {
-      return notRun(refusal_reason::kDeadlineExceeded);
+      return notRun(refusal_reason::kDeadlineExceeded, {});
     }
     // Calls of the own upstream belong to requests in flight, which a drain
     // must not cut off.
-    if (mKind == listener_kind::kCaller && Outgoing().mPolicy.IsDraining()) {
-      return notRun(refusal_reason::kDraining);
+    if (!mIsNested && Outgoing().mPolicy.RefusesCallers(Now())) {
+      return notRun(refusal_reason::kDraining, kNotReadyRetryAfter);
     }
     return std::nullopt;
   }
@@ -210,7 +285,8 @@
   task<bool> RunRequest(routed_request aRequest)
   {
     auto const context = aRequest.mContext;
-    auto const extraTries = aRequest.mRoute.mExtraTries;
+    auto const extraTries = aRequest.mRoute->mExtraTries;
+    mStream.expires_at(ToSteadyClock(context.mDeadline + kSlowReaderTime));
     answer_sink sink{ [this](answer_head const& aHead,
                              core::instance_id const& aInstance) {
                        return WriteHead(aHead, aInstance);
@@ -249,8 +325,10 @@
     }
     bool const bodyWasRead = co_await StopReading();
     if (!result.mHasAnswer) {
-      bool const keepAlive = co_await Refuse(result.mRefusal);
-      co_return keepAlive&& bodyWasRead;
+      if (mIsTooLarge) {
+        result.mRefusal.mReason = refusal_reason::kTooLarge;
+      }
+      co_return co_await Refuse(result.mRefusal);
     }
     Outgoing().mMetrics.CountResponse(mClass, mAnswer->result_int());
     // A truncated answer must not look whole: the connection ends before the
@@ -273,7 +351,8 @@
 
   task<void> ReadBodyBytes(call_runner& aRunner)
   {
-    if (beast::iequals(FieldValue(mParser->get(), "expect"), "100-continue")) {
+    if (ExpectsContinue()) {
+      mHasContinued = true;
       http::response<http::empty_body> proceed(http::status::continue_,
                                                mParser->get().version());
       co_await http::async_write(mStream, proceed, kAsTuple);
@@ -290,6 +369,7 @@
       auto const [code, size] =
         co_await http::async_read_some(mStream, mBuffer, *mParser, kAsTuple);
       if (code && code != http::error::need_buffer) {
+        mIsTooLarge = code == http::error::body_limit;
         aRunner.Body().MarkBroken();
         aRunner.Notify();
         co_return;
@@ -345,8 +425,7 @@
     mAnswer->version(mParser->get().version());
     mAnswer->result(aHead.mStatus);
     AppendHeaders(*mAnswer, aHead.mHeaders);
-    SetField(*mAnswer, header::kInstance, aInstance.mValue);
-    SetField(*mAnswer, header::kOutcome, OutcomeName(outcome::kRan));
+    mServices.mDialect.mMarkAnswer(*mAnswer, aInstance);
     bool const canChunk = mParser->get().version() >= kFirstChunkedVersion;
     if (aHead.mContentLength) {
       mAnswer->content_length(*aHead.mContentLength);
@@ -354,7 +433,8 @@
       mAnswer->chunked(true);
     }
     bool const hasLength = aHead.mContentLength || !aHead.mHasBody || canChunk;
-    mAnswer->keep_alive(mParser->get().keep_alive() && hasLength);
+    mAnswer->keep_alive(mParser->get().keep_alive() && hasLength &&
+                        !Outgoing().mPolicy.IsDraining());
     mAnswer->body().data = nullptr;
     mAnswer->body().more = aHead.mHasBody;
     mSerializer.emplace(*mAnswer);
@@ -375,38 +455,58 @@
     co_return IsWritten(code);
   }
 
-  static void SetField(http::fields& aFields,
-                       std::string_view aName,
-                       std::string_view aValue)
-  {
-    aFields.set({ aName.data(), aName.size() },
-                { aValue.data(), aValue.size() });
-  }
-
+  /// Ends a request without an answer. Returns whether the connection can be
+  /// used again.
   task<bool> Refuse(call_refusal aRefusal)
   {
-    auto const status = StatusFor(aRefusal);
+    auto const status = mServices.mDialect.mStatusFor(aRefusal);
     Outgoing().mMetrics.CountRefusal(refusal_place::kCaller, aRefusal.mReason);
-    Outgoing().mMetrics.CountResponse(mClass, static_cast<unsigned>(status));
-    http::response<http::string_body> response(status,
-                                               mParser->get().version());
-    SetField(response, header::kOutcome, OutcomeName(aRefusal.mOutcome));
-    SetField(response, header::kReason, core::ReasonName(aRefusal.mReason));
-    if (aRefusal.mOutcome == outcome::kNotRun) {
-      auto const seconds = std::max<std::int64_t>(
-        1, core::Milliseconds(aRefusal.mRetryAfter) / 1000);
-      response.set(http::field::retry_after, std::to_string(seconds));
-    }
+    Outgoing().mMetrics.CountResponse(mClass, status);
+    auto const& message = mParser->get();
+    http::response<http::string_body> response;
+    response.version(message.version());
+    response.result(status);
+    mServices.mDialect.mMarkRefusal(response, aRefusal);
     response.set(http::field::content_type, "text/plain");
     response.body() =
       "outcome: " + std::string(OutcomeName(aRefusal.mOutcome)) +
       "\nreason: " + std::string(core::ReasonName(aRefusal.mReason)) + "\n";
-    bool const keepAlive = mParser->get().keep_alive() && mParser->is_done();
-    response.keep_alive(keepAlive);
+    // A caller that waits for "100 Continue" does not send the rest.
+    bool const isWholeOrComing =
+      mParser->is_done() || !ExpectsContinue() || mHasContinued;
+    response.keep_alive(message.keep_alive() && isWholeOrComing &&
+                        !Outgoing().mPolicy.IsDraining());
     response.prepare_payload();
+    bool const keepAlive = response.keep_alive();
     auto const [code, size] =
       co_await http::async_write(mStream, response, kAsTuple);
-    co_return IsWritten(code) && keepAlive;
+    if (!IsWritten(code) || !isWholeOrComing) {
+      co_return false;
+    }
+    bool const isWhole = co_await DiscardBody();
+    co_return keepAlive&& isWhole;
+  }
+
+  /// Reads what is left of the request. Returns whether that was all of it.
+  task<bool> DiscardBody()
+  {
+    std::array<char, kReadBytes> bytes;
+    mStream.expires_after(kDiscardTime);
+    while (!mParser->is_done()) {
+      mParser->get().body().data = bytes.data();
+      mParser->get().body().size = bytes.size();
+      auto const [code, size] =
+        co_await http::async_read_some(mStream, mBuffer, *mParser, kAsTuple);
+      if (code && code != http::error::need_buffer) {
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  bool ExpectsContinue() const
+  {
+    return beast::iequals(FieldValue(mParser->get(), "expect"), "100-continue");
   }
 
   static constexpr auto kReaderStopPoll = 5ms;
@@ -423,6 +523,9 @@
   /// Wakes the reader when the body buffer has room again.
   signal mRoom;
   tables::work_class mClass = tables::work_class::kCatalogue;
+  bool mIsNested = false;
+  bool mIsTooLarge = false;
+  bool mHasContinued = false;
   bool mIsReading = false;
   bool mMustStopReading = false;
 };
--- a/Libraries/LibDaemon/HttpServer.h
+++ b/Libraries/LibDaemon/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "LibDaemon/CallRunner.h"
 #include "LibDaemon/ClaimService.h"
+#include "LibDaemon/HttpDialect.h"
 
 #include <atomic>
 #include <memory>
@@ -25,6 +26,7 @@
   outgoing_services& mOutgoing;
   request_counter& mRequests;
   claim_service& mClaims;
+  http_dialect const& mDialect;
 };
 
 /// Serves one accepted HTTP connection to its end.
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -19,6 +19,11 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr std::uint32_t kMaximumHeaderBytes = 16U * 1024U;
 constexpr std::size_t kReadBytes = 16UL * 1024UL;
+/// Calls that must not run twice take only connections that were used within
+/// this time: when the upstream closes an idle connection under a request, it
+/// is not known whether the request was read.
+constexpr core::duration kLongestIdleForUnsafe = std::chrono::seconds(1);
+constexpr core::duration kShortestWait = std::chrono::milliseconds(1);
 
 /// Keeps the answer to an admission request until the call's thread sees it.
 struct admission_box
@@ -32,14 +37,6 @@
   std::optional<std::optional<traffic::refuse_suspect>> mDecision;
 };
 
-bool
-PromisesNotRun(http::response<http::buffer_body> const& aResponse)
-{
-  return aResponse.result() == http::status::service_unavailable &&
-         FieldValue(aResponse, header::kOutcome) ==
-           OutcomeName(outcome::kNotRun);
-}
-
 }
 
 incoming_call::incoming_call(incoming_services& aServices,
@@ -129,9 +126,16 @@
         self->mSignal.Notify();
       });
     };
-  mCall = mServices.mPolicy.Arrive(Now(), mHead.mContext, answer);
+  mArrived = Now();
+  mCall = mServices.mPolicy.Arrive(mArrived, mHead.mContext, answer);
   while (!box->mDecision && !mIsCancelled) {
-    co_await mSignal.Wait();
+    auto const until =
+      std::min(mHead.mContext.mDeadline,
+               mArrived + mServices.mPolicy.LongestAdmissionWait());
+    co_await mSignal.Wait(std::max(until, Now() + kShortestWait));
+    if (!box->mDecision && Now() >= until) {
+      mServices.mPolicy.Tick(Now());
+    }
   }
   if (box->mDecision) {
     co_return *box->mDecision;
@@ -223,11 +227,24 @@
   }
 }
 
+core::duration
+incoming_call::LongestIdle() const
+{
+  return mHead.mIsIdempotent ? core::duration::max() : kLongestIdleForUnsafe;
+}
+
 task<std::optional<call_refusal>>
 incoming_call::RunAdmitted()
 {
-  mConnection = co_await mServices.mUpstreams.Take();
+  mUpstreamId = mServices.mPolicy.UpstreamId();
+  if (mServices.mSettings.mUpstream.mReportsItself && mUpstreamId.IsEmpty()) {
+    co_return call_refusal{ outcome::kNotRun, refusal_reason::kNotReady, {} };
+  }
+  mConnection = co_await mServices.mUpstreams.Take(LongestIdle());
   if (!mConnection || mIsCancelled) {
+    if (!mConnection && mServices.mOnUpstreamLost) {
+      mServices.mOnUpstreamLost();
+    }
     // Nothing was written, so the upstream cannot have run the call.
     co_return call_refusal{ outcome::kNotRun,
                             refusal_reason::kUpstreamLost,
@@ -236,7 +253,7 @@
   auto failure = co_await Exchange(mConnection);
   bool const canReuse = !failure && mIsBodySent && !mIsCancelled;
   if (canReuse) {
-    mServices.mUpstreams.Return(mConnection);
+    mServices.mUpstreams.Return(mConnection, mKeepAlive);
   } else {
     mConnection->mStream.close();
     mBodySignal.Notify();
@@ -273,31 +290,78 @@
   } else {
     mIsBodySent = true;
   }
-  response_parser parser;
-  parser.header_limit(kMaximumHeaderBytes);
-  parser.body_limit(boost::none);
-  if (mHead.mMethod == "HEAD") {
-    parser.skip(true);
+  std::optional<response_parser> parser;
+  auto failure = co_await ReadAnswerHead(*aConnection, parser);
+  if (!failure) {
+    failure = co_await ForwardAnswer(*aConnection, *parser);
   }
-  auto const [code, size] = co_await http::async_read_header(
-    stream, aConnection->mBuffer, parser, kAsTuple);
-  if (code) {
-    co_return FailureOf(code);
-  }
-  if (PromisesNotRun(parser.get())) {
-    // The response's body is not read, so the connection is not used again.
-    mIsBodySent = false;
-    co_return call_refusal{ outcome::kNotRun,
-                            refusal_reason::kUpstreamRefused,
-                            {} };
-  }
-  auto failure = co_await ForwardAnswer(*aConnection, parser);
-  if (!parser.get().keep_alive()) {
+  if (!failure && !parser->get().keep_alive()) {
     mIsBodySent = false;
   }
   co_return failure;
 }
 
+task<std::optional<call_refusal>>
+incoming_call::ReadAnswerHead(upstream_connection& aConnection,
+                              std::optional<response_parser>& aParser)
+{
+  for (;;) {
+    aParser.emplace();
+    aParser->header_limit(kMaximumHeaderBytes);
+    aParser->body_limit(boost::none);
+    if (mHead.mMethod == "HEAD") {
+      aParser->skip(true);
+    }
+    auto const [code, size] = co_await http::async_read_header(
+      aConnection.mStream, aConnection.mBuffer, *aParser, kAsTuple);
+    if (code) {
+      co_return FailureOf(code);
+    }
+    auto const& message = aParser->get();
+    auto const facts =
+      mServices.mDialect.mReadResponse(message.result_int(), message);
+    bool const isForeign =
+      !facts.mRequest.IsEmpty() && facts.mRequest != mHead.mContext.mRequest;
+    if (isForeign) {
+      mServices.mMetrics.CountLateFrame();
+      if (auto const skipped = co_await SkipBody(aConnection, *aParser)) {
+        co_return FailureOf(skipped);
+      }
+      continue;
+    }
+    mKeepAlive = facts.mKeepAlive;
+    if (facts.mIsDamaged) {
+      co_return call_refusal{ outcome::kUnknown,
+                              refusal_reason::kMalformed,
+                              {} };
+    }
+    if (facts.mIsNotRun) {
+      // The response's body is not read, so the connection is not used again.
+      co_return call_refusal{ outcome::kNotRun,
+                              refusal_reason::kUpstreamRefused,
+                              {} };
+    }
+    co_return std::nullopt;
+  }
+}
+
+task<boost::system::error_code>
+incoming_call::SkipBody(upstream_connection& aConnection,
+                        response_parser& aParser)
+{
+  std::array<char, kReadBytes> bytes;
+  while (!aParser.is_done()) {
+    aParser.get().body().data = bytes.data();
+    aParser.get().body().size = bytes.size();
+    auto const [code, size] = co_await http::async_read_some(
+      aConnection.mStream, aConnection.mBuffer, aParser, kAsTuple);
+    if (code && code != http::error::need_buffer) {
+      co_return code;
+    }
+  }
+  co_return boost::system::error_code{};
+}
+
 task<bool>
 incoming_call::SendRequest(upstream_connection& aConnection)
 {
@@ -306,7 +370,7 @@
   request.target(mHead.mTarget);
   request.version(kHttpVersion);
   AppendHeaders(request, mHead.mHeaders);
-  WriteContext(request, mHead.mContext, Now());
+  mServices.mDialect.mWriteContext(request, mHead.mContext, mUpstreamId, Now());
   request.body().data = nullptr;
   request.body().more = mHead.mHasBody;
   if (mHead.mContentLength) {
@@ -367,7 +431,8 @@
   head.mStream = mHead.mStream;
   head.mAttempt = mHead.mAttempt;
   head.mStatus = aParser.get().result_int();
-  head.mHeaders = EndToEndHeaders(aParser.get());
+  head.mHeaders =
+    EndToEndHeaders(aParser.get(), mServices.mDialect.mIsOwnHeader);
   if (auto const length = aParser.content_length()) {
     head.mContentLength = *length;
   }
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDaemon/FrameChannel.h"
+#include "LibDaemon/HttpDialect.h"
 #include "LibDaemon/Metrics.h"
 #include "LibDaemon/QuarantineService.h"
 #include "LibDaemon/TrafficPolicy.h"
@@ -25,6 +26,9 @@
   metrics& mMetrics;
   upstream_pool& mUpstreams;
   quarantine_service& mQuarantine;
+  http_dialect const& mDialect;
+  /// Called when the upstream does not accept connections.
+  std::function<void()> mOnUpstreamLost;
 };
 
 /// One call from a peer to the local upstream: admission, HTTP exchange,
@@ -51,6 +55,14 @@
   task<std::optional<call_refusal>> RunAdmitted();
   task<std::optional<call_refusal>> Exchange(
     std::shared_ptr<upstream_connection> aConnection);
+  /// Reads the head of the answer to this call into aParser. Answers to earlier
+  /// calls that come late on the connection are skipped.
+  task<std::optional<call_refusal>> ReadAnswerHead(
+    upstream_connection& aConnection,
+    std::optional<response_parser>& aParser);
+  task<boost::system::error_code> SkipBody(upstream_connection& aConnection,
+                                           response_parser& aParser);
+  core::duration LongestIdle() const;
   task<bool> SendRequest(upstream_connection& aConnection);
   task<void> SendBody(std::shared_ptr<upstream_connection> aConnection);
   task<std::optional<call_refusal>> ForwardAnswer(
@@ -83,6 +95,9 @@
   std::deque<body_chunk> mBody;
   std::uint64_t mBodyCredit = kInitialCreditBytes;
   std::uint64_t mAnswerCredit = kInitialCreditBytes;
+  core::time_point mArrived;
+  membership::upstream_id mUpstreamId;
+  std::optional<core::duration> mKeepAlive;
   bool mIsBodySent = false;
   bool mIsCancelled = false;
 };
--- a/Libraries/LibDaemon/ReplicaHost.cpp
+++ b/Libraries/LibDaemon/ReplicaHost.cpp
@@ -103,7 +103,34 @@
 {
   control::submission_id const id{ ++mLastRequest };
   mEdits.emplace(id, std::move(aCallback));
-  Handle(control::edit_submitted{ id, std::move(aEdit) });
+  Handle(control::edit_submitted{ id, std::move(aEdit), std::nullopt });
+}
+
+void
+replica_host::SubmitReplacement(core::edit_id aId,
+                                tables::table_replacement aReplacement,
+                                edit_callback aCallback)
+{
+  control::submission_id const id{ ++mLastRequest };
+  mEdits.emplace(id, std::move(aCallback));
+  tables::edit edit;
+  edit.mId = std::move(aId);
+  Handle(
+    control::edit_submitted{ id, std::move(edit), std::move(aReplacement) });
+}
+
+void
+replica_host::SetContacts(std::map<core::instance_id, core::address> aContacts)
+{
+  if (aContacts == mContacts) {
+    return;
+  }
+  mContacts = std::move(aContacts);
+  control::contacts_found found;
+  for (auto const& [instance, address] : mContacts) {
+    found.mContacts.push_back(instance);
+  }
+  Handle(found);
 }
 
 void
@@ -134,6 +161,10 @@
   if (found != group.end()) {
     return found->second.mPeerAddress;
   }
+  auto const contact = mContacts.find(aInstance);
+  if (contact != mContacts.end()) {
+    return contact->second;
+  }
   for (auto const& member : mSettings.mControl->mInitialGroup) {
     if (member.mInstance == aInstance) {
       return member.mPeerAddress;
--- a/Libraries/LibDaemon/ReplicaHost.h
+++ b/Libraries/LibDaemon/ReplicaHost.h
@@ -42,6 +42,13 @@
   void Tick();
   void OnMessage(control::message aMessage);
   void SubmitEdit(tables::edit aEdit, edit_callback aCallback);
+  /// Replaces all tables by those of aReplacement.
+  void SubmitReplacement(core::edit_id aId,
+                         tables::table_replacement aReplacement,
+                         edit_callback aCallback);
+  /// Tells the live instances that may be control replicas, with their peer
+  /// addresses.
+  void SetContacts(std::map<core::instance_id, core::address> aContacts);
   /// Reads the tables; aCurrent asks for a majority's confirmation.
   void Read(bool aCurrent, read_callback aCallback);
 
@@ -71,6 +78,7 @@
   asio::thread_pool mDisk{ 1 };
   control::file_journal mJournal;
   std::unique_ptr<control::replica> mReplica;
+  std::map<core::instance_id, core::address> mContacts;
   std::uint64_t mLastRequest = 0;
   std::map<control::submission_id, edit_callback> mEdits;
   std::map<control::read_id, read_callback> mReads;
--- a/Libraries/LibDaemon/RequestBody.h
+++ b/Libraries/LibDaemon/RequestBody.h
@@ -13,8 +13,9 @@
 class request_body
 {
 public:
-  /// Bytes that are kept for a retry and buffered at most.
-  static constexpr std::size_t kMaximumBufferedBytes = 64UL * 1024UL;
+  /// Bytes that are kept for a retry and buffered at most. Holds the uploads of
+  /// Plumehost and Tanglewick, at most 360 KB.
+  static constexpr std::size_t kMaximumBufferedBytes = 512UL * 1024UL;
 
   void Append(std::string_view aBytes);
   void MarkComplete() { mIsComplete = true; }
--- /dev/null
+++ b/Libraries/LibDaemon/RoutingView.cpp
@@ -0,0 +1,12 @@
+#include "LibDaemon/RoutingView.h"
+
+namespace cranberryfold::daemon {
+
+tables::table_set const&
+routing_view::Tables() const
+{
+  static tables::table_set const kNone;
+  return mRoutes ? mRoutes->Tables() : kNone;
+}
+
+}
--- a/Libraries/LibDaemon/RoutingView.h
+++ b/Libraries/LibDaemon/RoutingView.h
@@ -2,9 +2,11 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Ids.h"
+#include "LibTables/RouteIndex.h"
 #include "LibTables/Tables.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -32,10 +34,14 @@
 struct routing_view
 {
   core::revision mRevision;
-  tables::table_set mTables;
+  /// Null until tables have been installed; views of one revision share it.
+  std::shared_ptr<tables::route_index const> mRoutes;
   std::vector<routing_member> mMembers;
 
-  bool operator==(routing_view const&) const = default;
+  /// Returns the tables in force, empty ones before the first are installed.
+  tables::table_set const& Tables() const;
+  /// Whether there is anything that a request could be routed by.
+  bool HasRoutes() const { return !Tables().mRoutes.empty(); }
 };
 
 }
--- a/Libraries/LibDaemon/Settings.cpp
+++ b/Libraries/LibDaemon/Settings.cpp
@@ -51,6 +51,10 @@
                aOut.mHealthPath,
                kOptional,
                "Path that answers 200 when the upstream is ready.");
+  aReader.Boolean("reports_itself",
+                  aOut.mReportsItself,
+                  kOptional,
+                  "The upstream reports its state; its health is not polled.");
 }
 
 void
@@ -115,6 +119,10 @@
                          aOut.mPeerAddress,
                          kRequired,
                          "TCP and UDP listener for other daemons.");
+  aReader.NetworkAddress("ready_address",
+                         aOut.mReadyAddress,
+                         kOptional,
+                         "Listener that tells readiness alone.");
 }
 
 void
@@ -140,6 +148,19 @@
                  kGraceRange,
                  kOptional,
                  "Longest time to finish calls in flight at a stop.");
+  aReader.Number("drain_serve_ms",
+                 aOut.mDrainServeMilliseconds,
+                 kGraceRange,
+                 kOptional,
+                 "Time for which callers are served after a stop request.");
+  aReader.Boolean("shares_caller_listener",
+                  aOut.mSharesCallerListener,
+                  kOptional,
+                  "Calls of the own upstream come to caller_address.");
+  aReader.Boolean("claims",
+                  aOut.mClaims,
+                  kOptional,
+                  "Requests with an idempotency key are claimed first.");
   aReader.Choice("log_level",
                  aOut.mLogLevel,
                  kLevelNames,
--- a/Libraries/LibDaemon/Settings.h
+++ b/Libraries/LibDaemon/Settings.h
@@ -21,6 +21,9 @@
   std::uint32_t mSlots = 50;
   std::uint32_t mConnections = 400;
   std::string mHealthPath = "/health";
+  /// Whether the upstream reports its state to the daemon; otherwise the daemon
+  /// polls the health path.
+  bool mReportsItself = false;
 
   bool operator==(upstream_settings const&) const = default;
 };
@@ -51,15 +54,28 @@
   core::address mEgressAddress;
   core::address mAdminAddress;
   core::address mPeerAddress;
+  /// Listener for readiness alone; port 0 means none.
+  core::address mReadyAddress;
   std::vector<core::address> mSeeds;
+  /// Without a service, the instance has no upstream and serves no callers.
   upstream_settings mUpstream;
   std::optional<control_settings> mControl;
   std::uint32_t mTrafficThreads = 1;
   std::uint32_t mMaximumConnections = 2000;
   std::uint32_t mMaximumDepth = 16;
   std::uint32_t mDrainGraceMilliseconds = 30000;
+  /// Time for which callers are still served after a stop was requested, since
+  /// they learn of it late.
+  std::uint32_t mDrainServeMilliseconds = 0;
+  /// Whether calls of the own upstream come to the listener for callers, from
+  /// the instance's own IP number.
+  bool mSharesCallerListener = false;
+  /// Whether requests with an idempotency key are claimed before they run.
+  bool mClaims = true;
   core::log_level mLogLevel = core::log_level::kInfo;
 
+  bool HasUpstream() const { return !mUpstream.mService.IsEmpty(); }
+
   bool operator==(daemon_settings const&) const = default;
 };
 
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -1,6 +1,7 @@
 #include "LibDaemon/TrafficPolicy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberryfold::daemon {
 
@@ -39,6 +40,7 @@
   , mAdmission(aNow)
 {
   mOwnPool.mService = mSettings.mUpstream.mService;
+  mUpstream.mSlots = mSettings.mUpstream.mSlots;
   ConfigureAdmission(aNow);
 }
 
@@ -48,7 +50,7 @@
 {
   std::scoped_lock const lock(mMutex);
   mView = std::move(aView);
-  for (auto const& [name, row] : mView->mTables.mPools) {
+  for (auto const& [name, row] : mView->Tables().mPools) {
     // Pools of one service share its upstreams; the first by name governs
     // admission.
     if (row.mService == mSettings.mUpstream.mService) {
@@ -60,21 +62,28 @@
     }
   }
   ConfigurePools();
+  mSplits.Keep(mView->Tables());
+}
+
+std::string
+traffic_policy::ChoosePool(tables::route const& aRoute)
+{
+  std::scoped_lock const lock(mMutex);
+  return mSplits.Choose(aRoute);
 }
 
 void
 traffic_policy::ConfigureAdmission(core::time_point aNow)
 {
   mAdmission.Handle(
-    aNow,
-    traffic::configuration_changed{ mSettings.mUpstream.mSlots, mOwnPool });
+    aNow, traffic::configuration_changed{ mUpstream.mSlots, mOwnPool });
 }
 
 void
 traffic_policy::ConfigurePools()
 {
   traffic::location const here{ mSettings.mZone, mSettings.mRegion };
-  for (auto const& [name, row] : mView->mTables.mPools) {
+  for (auto const& [name, row] : mView->Tables().mPools) {
     std::vector<traffic::candidate> candidates;
     for (auto const& member : mView->mMembers) {
       bool const takesWork = member.mIsServing || member.mIsDraining;
@@ -88,7 +97,7 @@
     entry->second.mSelector.Configure(row, std::move(candidates));
   }
   std::erase_if(mPools, [this](auto const& aEntry) {
-    return !mView->mTables.mPools.contains(aEntry.first);
+    return !mView->Tables().mPools.contains(aEntry.first);
   });
 }
 
@@ -183,10 +192,13 @@
   {
     std::scoped_lock const lock(mMutex);
     call = { ++mLastCall };
-    if (!mIsReady && !mIsDraining) {
+    bool const isLeaving =
+      mUpstream.mLifecycle == membership::lifecycle_state::kDraining;
+    if (!IsServing() && !mIsDraining) {
       made.emplace_back(std::move(aCallback),
                         call_refusal{ outcome::kNotRun,
-                                      refusal_reason::kNotReady,
+                                      isLeaving ? refusal_reason::kDraining
+                                                : refusal_reason::kNotReady,
                                       kDefaultRetryAfter });
     } else if (WouldBeRefusedBelow(aNow, aContext)) {
       made.emplace_back(std::move(aCallback),
@@ -248,20 +260,47 @@
   RunCallbacks(made);
 }
 
+core::duration
+traffic_policy::LongestAdmissionWait() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mAdmission.LongestWait();
+}
+
 void
-traffic_policy::SetUpstreamReady(core::time_point aNow, bool aIsReady)
+traffic_policy::SetUpstream(core::time_point aNow,
+                            membership::upstream_facts const& aFacts)
 {
   decisions made;
   {
     std::scoped_lock const lock(mMutex);
-    if (aIsReady && !mIsReady) {
+    auto const before = std::exchange(mUpstream, aFacts);
+    bool const wasServing =
+      before.mLifecycle == membership::lifecycle_state::kServing;
+    bool const isNewLife = before.mId != aFacts.mId || !wasServing;
+    if (before.mSlots != aFacts.mSlots) {
+      ConfigureAdmission(aNow);
+    }
+    if (IsServing() && isNewLife) {
       made = Handle(aNow, traffic::upstream_restarted{});
     }
-    mIsReady = aIsReady;
   }
   RunCallbacks(made);
 }
 
+membership::upstream_id
+traffic_policy::UpstreamId() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mUpstream.mId;
+}
+
+bool
+traffic_policy::IsServing() const
+{
+  return mUpstream.mLifecycle == membership::lifecycle_state::kServing;
+}
+
 void
 traffic_policy::StartDraining(core::time_point aNow)
 {
@@ -269,6 +308,7 @@
   {
     std::scoped_lock const lock(mMutex);
     mIsDraining = true;
+    mDrainStarted = aNow;
     made = Handle(aNow, traffic::admission_drain_started{});
   }
   RunCallbacks(made);
@@ -281,11 +321,20 @@
   return mIsDraining;
 }
 
+bool
+traffic_policy::RefusesCallers(core::time_point aNow) const
+{
+  std::scoped_lock const lock(mMutex);
+  return mIsDraining &&
+         aNow >= mDrainStarted +
+                   std::chrono::milliseconds(mSettings.mDrainServeMilliseconds);
+}
+
 bool
 traffic_policy::IsUpstreamReady() const
 {
   std::scoped_lock const lock(mMutex);
-  return mIsReady;
+  return IsServing();
 }
 
 std::size_t
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -4,11 +4,13 @@
 #include "LibCore/Reasons.h"
 #include "LibDaemon/RoutingView.h"
 #include "LibDaemon/Settings.h"
+#include "LibMembership/UpstreamTracker.h"
 #include "LibTraffic/AdmissionController.h"
 #include "LibTraffic/AdmissionDependency.h"
 #include "LibTraffic/CallContext.h"
 #include "LibTraffic/LoadStamp.h"
 #include "LibTraffic/RetryBudget.h"
+#include "LibTraffic/SplitChooser.h"
 #include "LibTraffic/UpstreamSelection.h"
 
 #include <functional>
@@ -51,6 +53,9 @@
                std::shared_ptr<routing_view const> aView);
   std::shared_ptr<routing_view const> View() const;
 
+  /// Returns the pool that the next request of aRoute goes to.
+  std::string ChoosePool(tables::route const& aRoute);
+
   /// Asks for admission to the local upstream. The answer may come at once.
   traffic::call_id Arrive(core::time_point aNow,
                           traffic::call_context const& aContext,
@@ -62,13 +67,21 @@
               core::duration aLatency);
   /// Ends a call that nobody waits for any longer.
   void Cancel(core::time_point aNow, traffic::call_id aCall);
+  /// Ends calls that have waited for too long.
   void Tick(core::time_point aNow);
-
-  /// Tells whether the local upstream takes work; a change to true means that
-  /// it has started anew.
-  void SetUpstreamReady(core::time_point aNow, bool aIsReady);
+  /// Returns how long a call waits for admission at most.
+  core::duration LongestAdmissionWait() const;
+
+  /// Takes over what is known about the local upstream. One that begins to
+  /// serve, or serves under another id, has started anew.
+  void SetUpstream(core::time_point aNow,
+                   membership::upstream_facts const& aFacts);
+  /// The process that calls are meant for; empty when it has no name.
+  membership::upstream_id UpstreamId() const;
   void StartDraining(core::time_point aNow);
   bool IsDraining() const;
+  /// Whether a drain has gone so far that callers are no longer served.
+  bool RefusesCallers(core::time_point aNow) const;
   bool IsUpstreamReady() const;
   /// Calls at the local upstream, running or waiting.
   std::size_t CallsInFlight() const;
@@ -135,6 +148,7 @@
                            traffic::call_context const& aContext) const;
   void NoteCalledPool(core::request_id const& aRequest,
                       std::string const& aPool);
+  bool IsServing() const;
   void ConfigureAdmission(core::time_point aNow);
   void ConfigurePools();
 
@@ -152,8 +166,10 @@
   std::map<std::string, pool_state> mPools;
   traffic::retry_budget mBudget;
   std::set<core::address> mSenders;
-  bool mIsReady = false;
+  traffic::split_chooser mSplits;
+  membership::upstream_facts mUpstream;
   bool mIsDraining = false;
+  core::time_point mDrainStarted;
 };
 
 }
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -40,15 +40,21 @@
            CallsHello(aShared.mSettings),
            aShared.mMetrics)
   , mUpstreams(mContext.get_executor(), aShared.mSettings.mUpstream.mAddress)
-  , mIncoming{ mContext.get_executor(), aShared.mSettings, aShared.mPolicy,
-               aShared.mMetrics,        mUpstreams,        aShared.mQuarantine }
+  , mIncoming{ mContext.get_executor(),
+               aShared.mSettings,
+               aShared.mPolicy,
+               aShared.mMetrics,
+               mUpstreams,
+               aShared.mQuarantine,
+               aShared.mDialect,
+               aShared.mOnUpstreamLost }
   , mOutgoing{ mContext.get_executor(),
                aShared.mSettings,
                aShared.mPolicy,
                aShared.mMetrics,
                mLinks,
                aShared.mPermits }
-  , mHttp{ mOutgoing, aShared.mRequests, aShared.mClaims }
+  , mHttp{ mOutgoing, aShared.mRequests, aShared.mClaims, aShared.mDialect }
 {
 }
 
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -20,6 +20,9 @@
   request_counter& mRequests;
   claim_service& mClaims;
   quarantine_service& mQuarantine;
+  http_dialect const& mDialect;
+  /// Called from traffic threads when the upstream refuses connections.
+  std::function<void()> mOnUpstreamLost;
 };
 
 /// One thread that carries calls: its event loop, its links to peers and its
@@ -37,6 +40,7 @@
 
   asio::io_context& Context() { return mContext; }
   link_pool& Links() { return mLinks; }
+  upstream_pool& Upstreams() { return mUpstreams; }
   incoming_services& Incoming() { return mIncoming; }
   http_services& Http() { return mHttp; }
   void SetPeerHooks(call_server_hooks aHooks) { mHooks = std::move(aHooks); }
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -2,6 +2,8 @@
 
 #include "LibHttp/Client.h"
 
+#include <algorithm>
+
 namespace cranberryfold::daemon {
 
 namespace {
@@ -12,6 +14,12 @@
 constexpr core::duration kHealthTimeout = 2s;
 constexpr std::size_t kMaximumIdle = 64;
 constexpr std::size_t kReadAheadBytes = 16UL * 1024UL;
+/// An upstream may close its end while a request is on its way, so connections
+/// are given up this long before that.
+constexpr core::duration kKeepAliveMargin = 1s;
+/// Idle time when the upstream does not tell its own; below the 10 s after
+/// which the users' upstreams close.
+constexpr core::duration kUsualKeepAlive = 8s;
 
 /// An idle connection has nothing to read; bytes or an end mean that the
 /// upstream has closed it.
@@ -33,7 +41,7 @@
     co_return nullptr;
   }
   auto connection = std::make_shared<upstream_connection>(
-    upstream_connection{ boost::beast::tcp_stream(aExecutor), {} });
+    upstream_connection{ boost::beast::tcp_stream(aExecutor), {}, false });
   connection->mStream.expires_after(kConnectTimeout);
   auto const [code] =
     co_await connection->mStream.async_connect(*endpoint, kAsTuple);
@@ -57,24 +65,42 @@
 }
 
 task<std::shared_ptr<upstream_connection>>
-upstream_pool::Take()
+upstream_pool::Take(core::duration aLongestIdle)
 {
+  auto const now = Now();
   while (!mIdle.empty()) {
-    auto connection = std::move(mIdle.back());
+    auto const idle = std::move(mIdle.back());
     mIdle.pop_back();
-    if (IsStillIdle(connection->mStream.socket())) {
-      co_return connection;
+    if (now >= idle.mExpires) {
+      continue;
+    }
+    if (now - idle.mSince > aLongestIdle) {
+      // The others have been idle for longer; they serve calls that may wait.
+      mIdle.push_back(idle);
+      break;
+    }
+    if (IsStillIdle(idle.mConnection->mStream.socket())) {
+      idle.mConnection->mIsReused = true;
+      co_return idle.mConnection;
     }
   }
   co_return co_await OpenConnection(mExecutor, mUpstream);
 }
 
 void
-upstream_pool::Return(std::shared_ptr<upstream_connection> aConnection)
+upstream_pool::Return(std::shared_ptr<upstream_connection> aConnection,
+                      std::optional<core::duration> aKeepAlive)
 {
-  if (mIdle.size() < kMaximumIdle && aConnection->mBuffer.size() == 0) {
+  auto const now = Now();
+  auto const keepAlive =
+    std::min(kUsualKeepAlive, aKeepAlive.value_or(kUsualKeepAlive));
+  bool const isWorthKeeping = mIdle.size() < kMaximumIdle &&
+                              aConnection->mBuffer.size() == 0 &&
+                              keepAlive > kKeepAliveMargin;
+  if (isWorthKeeping) {
     aConnection->mStream.expires_never();
-    mIdle.push_back(std::move(aConnection));
+    mIdle.push_back(
+      { std::move(aConnection), now, now + keepAlive - kKeepAliveMargin });
   }
 }
 
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -6,6 +6,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace cranberryfold::daemon {
@@ -15,6 +17,8 @@
 {
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
+  /// Whether a request was sent on it before the present one.
+  bool mIsReused = false;
 };
 
 /// Idle connections of one thread to the local upstream, kept since a new one
@@ -24,17 +28,30 @@
 public:
   upstream_pool(asio::any_io_executor aExecutor, core::address aUpstream);
 
-  /// Returns an idle connection or a new one; null when the upstream cannot be
-  /// reached, in which case nothing was sent to it.
-  task<std::shared_ptr<upstream_connection>> Take();
+  /// Returns a connection that has been idle for aLongestIdle at most, or a new
+  /// one; null when the upstream cannot be reached, in which case nothing was
+  /// sent to it.
+  task<std::shared_ptr<upstream_connection>> Take(core::duration aLongestIdle);
 
-  /// Keeps a connection whose response was read to its end.
-  void Return(std::shared_ptr<upstream_connection> aConnection);
+  /// Keeps a connection whose response was read to its end. The upstream closes
+  /// it when it has been idle for aKeepAlive, if that is known.
+  void Return(std::shared_ptr<upstream_connection> aConnection,
+              std::optional<core::duration> aKeepAlive);
+
+  /// Closes the idle connections, which belong to a process that has ended.
+  void CloseIdle() { mIdle.clear(); }
 
 private:
+  struct idle_connection
+  {
+    std::shared_ptr<upstream_connection> mConnection;
+    core::time_point mSince;
+    core::time_point mExpires;
+  };
+
   asio::any_io_executor mExecutor;
   core::address mUpstream;
-  std::vector<std::shared_ptr<upstream_connection>> mIdle;
+  std::vector<idle_connection> mIdle;
 };
 
 /// Returns whether the upstream accepts a connection.
--- a/Libraries/LibMembership/DirectoryState.cpp
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -54,10 +54,12 @@
 void
 directory_state::On(own_state_changed const& aEvent)
 {
-  if (aEvent.mState == mOwn.mLifecycle) {
+  auto const slots = aEvent.mSlots.value_or(mOwn.mSlots);
+  if (aEvent.mState == mOwn.mLifecycle && slots == mOwn.mSlots) {
     return;
   }
   mOwn.mLifecycle = aEvent.mState;
+  mOwn.mSlots = slots;
   bool const isLeaving = aEvent.mState == lifecycle_state::kDraining ||
                          aEvent.mState == lifecycle_state::kLeft;
   bool const push = !isLeaving || mSettings.mMechanisms.mDrainPush;
@@ -70,6 +72,13 @@
   }
 }
 
+void
+directory_state::On(seeds_changed const& aEvent)
+{
+  mSettings.mSeeds = aEvent.mSeeds;
+  std::erase(mSettings.mSeeds, mOwn.mPeerAddress);
+}
+
 void
 directory_state::On(work_received const& aEvent)
 {
--- a/Libraries/LibMembership/DirectoryState.h
+++ b/Libraries/LibMembership/DirectoryState.h
@@ -62,6 +62,7 @@
   void On(tick const& aEvent);
   void On(member_message_received const& aEvent);
   void On(own_state_changed const& aEvent);
+  void On(seeds_changed const& aEvent);
   void On(work_received const& aEvent);
 
   // Messages.
--- a/Libraries/LibMembership/MemberDirectory.h
+++ b/Libraries/LibMembership/MemberDirectory.h
@@ -5,6 +5,7 @@
 #include "LibMembership/Messages.h"
 
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -50,6 +51,14 @@
 struct own_state_changed
 {
   lifecycle_state mState = lifecycle_state::kStarting;
+  /// Slots of the own upstream; nothing leaves them as they are.
+  std::optional<std::uint32_t> mSlots;
+};
+
+/// The settings name other seeds.
+struct seeds_changed
+{
+  std::vector<core::address> mSeeds;
 };
 
 /// Peer addresses of daemons that have sent work since the last such event. A
@@ -59,8 +68,11 @@
   std::vector<core::address> mSenders;
 };
 
-using directory_event =
-  std::variant<tick, member_message_received, own_state_changed, work_received>;
+using directory_event = std::variant<tick,
+                                     member_message_received,
+                                     own_state_changed,
+                                     seeds_changed,
+                                     work_received>;
 
 /// The snapshot of members has changed; the daemon publishes a new view and
 /// passes Peers() on to the configuration_distributor.
--- /dev/null
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -0,0 +1,100 @@
+#include "LibMembership/UpstreamTracker.h"
+
+namespace cranberryfold::membership {
+
+namespace {
+
+/// Reports come every 1.5 s and may be seconds late; after four missing ones
+/// the upstream is taken for gone.
+constexpr core::duration kLongestSilence = std::chrono::seconds(6);
+
+}
+
+std::string_view
+ReportOutcomeName(report_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case report_outcome::kAccepted:
+      return "accepted";
+    case report_outcome::kOutdated:
+      return "outdated";
+    case report_outcome::kForeign:
+      return "foreign";
+  }
+  return "foreign";
+}
+
+upstream_tracker::upstream_tracker(core::address aAddress,
+                                   core::service_id aService)
+  : mAddress(std::move(aAddress))
+  , mService(std::move(aService))
+{
+}
+
+bool
+upstream_tracker::IsOutdated(upstream_report const& aReport) const
+{
+  if (mFacts.mId.IsEmpty()) {
+    return false;
+  }
+  bool const canCompareStarts = aReport.mStarted != 0 && mStarted != 0;
+  if (canCompareStarts && aReport.mStarted != mStarted) {
+    return aReport.mStarted < mStarted;
+  }
+  if (aReport.mId != mFacts.mId) {
+    // Two processes without a start time cannot be put in order; the one that
+    // reports last is taken for the present one.
+    return false;
+  }
+  // A farewell carries no sequence number, and nothing comes after it.
+  if (mFacts.mLifecycle == lifecycle_state::kLeft) {
+    return true;
+  }
+  return aReport.mLifecycle != lifecycle_state::kLeft &&
+         aReport.mSequence <= mSequence;
+}
+
+report_outcome
+upstream_tracker::Handle(core::time_point aNow, upstream_report const& aReport)
+{
+  bool const isFarewell = aReport.mLifecycle == lifecycle_state::kLeft;
+  bool const isForeign =
+    aReport.mService != mService || aReport.mAddress != mAddress;
+  // A farewell names the process only.
+  if (!isFarewell && isForeign) {
+    return report_outcome::kForeign;
+  }
+  if (isFarewell && !mFacts.mId.IsEmpty() && aReport.mId != mFacts.mId) {
+    return report_outcome::kOutdated;
+  }
+  if (IsOutdated(aReport)) {
+    return report_outcome::kOutdated;
+  }
+  auto const slots = isFarewell ? mFacts.mSlots : aReport.mSlots;
+  mFacts = { aReport.mId, slots, aReport.mLifecycle, aReport.mColdRemaining };
+  mStarted = std::max(mStarted, aReport.mStarted);
+  mSequence = aReport.mSequence;
+  mHeard = aNow;
+  return report_outcome::kAccepted;
+}
+
+void
+upstream_tracker::NoteLost()
+{
+  if (mFacts.mLifecycle == lifecycle_state::kServing) {
+    mFacts.mLifecycle = lifecycle_state::kStarting;
+  }
+}
+
+bool
+upstream_tracker::ExpireSilence(core::time_point aNow)
+{
+  bool const isSilent = mFacts.mLifecycle == lifecycle_state::kServing &&
+                        aNow - mHeard >= kLongestSilence;
+  if (isSilent) {
+    mFacts.mLifecycle = lifecycle_state::kStarting;
+  }
+  return isSilent;
+}
+
+}
--- a/Libraries/LibTables/Serialize.h
+++ b/Libraries/LibTables/Serialize.h
@@ -21,23 +21,58 @@
            aPool.mQueueWaitMilliseconds,
            aPool.mRetryPercent);
   wire::SerializeEnumeration(aArchive, aPool.mSpill, spill_scope::kAll);
-  aArchive(aPool.mColdStartMilliseconds);
+  aArchive(aPool.mColdStartMilliseconds,
+           aPool.mHealthPath,
+           aPool.mUpstreamConnections,
+           aPool.mUpstreamProtocol,
+           aPool.mUpstreamTls);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, weighted_pool& aPart)
+{
+  aArchive(aPart.mPool, aPart.mWeight);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, route& aRoute)
 {
-  aArchive(aRoute.mName, aRoute.mMethods, aRoute.mPathPrefix, aRoute.mPool);
+  aArchive(aRoute.mName,
+           aRoute.mMethods,
+           aRoute.mHost,
+           aRoute.mPathPrefix,
+           aRoute.mPool,
+           aRoute.mSplit);
   wire::SerializeEnumeration(aArchive, aRoute.mClass, work_class::kUpload);
-  aArchive(aRoute.mIdempotent, aRoute.mTimeoutMilliseconds, aRoute.mExtraTries);
+  aArchive(aRoute.mRank,
+           aRoute.mIdempotent,
+           aRoute.mLargeBodies,
+           aRoute.mTimeoutMilliseconds,
+           aRoute.mObjectiveMilliseconds,
+           aRoute.mExtraTries);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, caller_limits& aLimits)
+{
+  aArchive(aLimits.mHeaderBytes,
+           aLimits.mBodyBytes,
+           aLimits.mHeaderTimeoutMilliseconds,
+           aLimits.mIdleTimeoutMilliseconds);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, table_set& aTables)
 {
-  aArchive(aTables.mPools, aTables.mRoutes, aTables.mClaimMap);
+  aArchive(aTables.mPools,
+           aTables.mRoutes,
+           aTables.mLimits,
+           aTables.mLabel,
+           aTables.mClaimMap);
 }
 
 template<class Archive>
@@ -89,6 +124,20 @@
   aArchive(aChange.mEncoded);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, put_limits& aChange)
+{
+  aArchive(aChange.mLimits);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, put_label& aChange)
+{
+  aArchive(aChange.mLabel);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, edit& aEdit)
--- a/Libraries/LibTables/TableRules.cpp
+++ b/Libraries/LibTables/TableRules.cpp
@@ -34,9 +34,10 @@
     { spill_scope::kAll, "all" } }
 };
 
-constexpr std::array<std::string_view, 7> kMethods{ "DELETE",  "GET",   "HEAD",
-                                                    "OPTIONS", "PATCH", "POST",
-                                                    "PUT" };
+constexpr std::string_view kAnyMethod = "*";
+constexpr std::array<std::string_view, 8> kMethods{
+  kAnyMethod, "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"
+};
 constexpr core::integer_range kConcurrencyRange{ 0, 100000 };
 constexpr core::integer_range kQueueRange{ 0, 100000 };
 constexpr core::integer_range kQueueWaitRange{ 1, 60000 };
@@ -44,6 +45,14 @@
 constexpr core::integer_range kColdStartRange{ 0, 600000 };
 constexpr core::integer_range kTimeoutRange{ 1, 600000 };
 constexpr core::integer_range kExtraTriesRange{ 0, 10 };
+constexpr core::integer_range kWeightRange{ 0, 1'000'000 };
+constexpr core::integer_range kRankRange{ 0, 1'000'000 };
+/// An objective this far beyond the timeout of its route is a mistake.
+constexpr std::uint32_t kObjectiveSlackMilliseconds = 60000;
+constexpr core::integer_range kObjectiveRange{ 0, 660000 };
+constexpr core::integer_range kHeaderBytesRange{ 256, 1 << 20 };
+constexpr core::integer_range kBodyBytesRange{ 0, std::int64_t{ 1 } << 40 };
+constexpr core::integer_range kLimitTimeRange{ 1, 3'600'000 };
 
 boost::leaf::error_id
 RowProblem(std::string const& aRow,
@@ -56,14 +65,64 @@
                       aRow + ": " + std::string(aField) + ": " + aDetail });
 }
 
+core::result<void>
+CheckSplit(table_set const& aTables, route const& aRoute)
+{
+  auto const row = "route " + aRoute.mName;
+  if (!aRoute.mPool.empty()) {
+    return RowProblem(row, "split", "expected either a pool or a split");
+  }
+  std::uint64_t sum = 0;
+  std::set<std::string_view> seen;
+  for (auto const& part : aRoute.mSplit) {
+    if (!aTables.mPools.contains(part.mPool)) {
+      return RowProblem(
+        row, "split", "expected names of pools, found " + part.mPool);
+    }
+    if (!seen.insert(part.mPool).second) {
+      return RowProblem(
+        row, "split", "expected each pool once, found twice " + part.mPool);
+    }
+    sum += part.mWeight;
+  }
+  if (sum == 0) {
+    return RowProblem(row, "split", "expected a weight above 0");
+  }
+  return {};
+}
+
+core::result<void>
+CheckTimes(route const& aRoute)
+{
+  auto const row = "route " + aRoute.mName;
+  auto const timeout = aRoute.mTimeoutMilliseconds;
+  if (timeout < kTimeoutRange.mMinimum || timeout > kTimeoutRange.mMaximum) {
+    return RowProblem(row,
+                      "timeout_ms",
+                      "expected 1 to " +
+                        std::to_string(kTimeoutRange.mMaximum) + ", found " +
+                        std::to_string(timeout));
+  }
+  if (aRoute.mObjectiveMilliseconds >= timeout + kObjectiveSlackMilliseconds) {
+    return RowProblem(row,
+                      "objective_ms",
+                      "expected less than a minute above the timeout, found " +
+                        std::to_string(aRoute.mObjectiveMilliseconds));
+  }
+  return {};
+}
+
 core::result<void>
 CheckRoute(table_set const& aTables, route const& aRoute)
 {
   auto const row = "route " + aRoute.mName;
-  if (!aTables.mPools.contains(aRoute.mPool)) {
+  if (!aRoute.mSplit.empty()) {
+    BOOST_LEAF_CHECK(CheckSplit(aTables, aRoute));
+  } else if (!aTables.mPools.contains(aRoute.mPool)) {
     return RowProblem(
       row, "pool", "expected the name of a pool, found " + aRoute.mPool);
   }
+  BOOST_LEAF_CHECK(CheckTimes(aRoute));
   if (aRoute.mMethods.empty()) {
     return RowProblem(row, "methods", "expected at least one method");
   }
@@ -79,23 +138,32 @@
   return {};
 }
 
+bool
+TakesAnyMethod(route const& aRoute)
+{
+  return aRoute.mMethods.contains(std::string(kAnyMethod));
+}
+
 bool
 Overlap(route const& aFirst, route const& aSecond)
 {
+  bool const sharesMethod =
+    TakesAnyMethod(aFirst) || TakesAnyMethod(aSecond) ||
+    std::any_of(
+      aFirst.mMethods.begin(), aFirst.mMethods.end(), [&](auto const& aMethod) {
+        return aSecond.mMethods.contains(aMethod);
+      });
   return aFirst.mPathPrefix == aSecond.mPathPrefix &&
-         std::any_of(aFirst.mMethods.begin(),
-                     aFirst.mMethods.end(),
-                     [&](auto const& aMethod) {
-                       return aSecond.mMethods.contains(aMethod);
-                     });
+         aFirst.mHost == aSecond.mHost && sharesMethod;
 }
 
 core::result<void>
 CheckOverlaps(table_set const& aTables)
 {
-  std::map<std::string_view, std::vector<route const*>> byPrefix;
+  using place = std::pair<std::string_view, std::string_view>;
+  std::map<place, std::vector<route const*>> byPlace;
   for (auto const& [name, row] : aTables.mRoutes) {
-    auto& others = byPrefix[row.mPathPrefix];
+    auto& others = byPlace[{ row.mHost, row.mPathPrefix }];
     for (auto const* const other : others) {
       if (Overlap(*other, row)) {
         return RowProblem("route " + name,
@@ -150,6 +218,24 @@
   return "\"\"";
 }
 
+std::string
+FormatBoolean(bool aValue)
+{
+  return aValue ? "true" : "false";
+}
+
+std::string
+FormatSplit(std::vector<weighted_pool> const& aSplit)
+{
+  std::string parts;
+  for (auto const& part : aSplit) {
+    parts += parts.empty() ? "" : ", ";
+    parts += "{ \"pool\": " + Quote(part.mPool) +
+             ", \"weight\": " + std::to_string(part.mWeight) + " }";
+  }
+  return "[" + parts + "]";
+}
+
 std::string
 FormatPool(pool const& aPool)
 {
@@ -162,6 +248,13 @@
   row += ", \"retry_percent\": " + std::to_string(aPool.mRetryPercent);
   row += ", \"spill\": " + QuoteName(kSpillNames, aPool.mSpill);
   row += ", \"cold_start_ms\": " + std::to_string(aPool.mColdStartMilliseconds);
+  if (!aPool.mHealthPath.empty()) {
+    row += ",\n      \"health_path\": " + Quote(aPool.mHealthPath);
+  }
+  row += ",\n      \"upstream_connections\": " +
+         std::to_string(aPool.mUpstreamConnections);
+  row += ", \"upstream_protocol\": " + Quote(aPool.mUpstreamProtocol);
+  row += ", \"upstream_tls\": " + FormatBoolean(aPool.mUpstreamTls);
   return row + " }";
 }
 
@@ -174,12 +267,21 @@
   }
   std::string row = "    { \"name\": " + Quote(aRoute.mName);
   row += ", \"methods\": [" + methods + "]";
+  if (!aRoute.mHost.empty()) {
+    row += ", \"host\": " + Quote(aRoute.mHost);
+  }
   row += ", \"path_prefix\": " + Quote(aRoute.mPathPrefix);
-  row += ", \"pool\": " + Quote(aRoute.mPool);
+  row += aRoute.mSplit.empty() ? ", \"pool\": " + Quote(aRoute.mPool)
+                               : ", \"split\": " + FormatSplit(aRoute.mSplit);
   row += ",\n      \"class\": " + QuoteName(kClassNames, aRoute.mClass);
+  if (aRoute.mRank) {
+    row += ", \"rank\": " + std::to_string(*aRoute.mRank);
+  }
+  row += ", \"idempotent\": " + FormatBoolean(aRoute.mIdempotent);
+  row += ", \"large_bodies\": " + FormatBoolean(aRoute.mLargeBodies);
   row +=
-    std::string(", \"idempotent\": ") + (aRoute.mIdempotent ? "true" : "false");
-  row += ", \"timeout_ms\": " + std::to_string(aRoute.mTimeoutMilliseconds);
+    ",\n      \"timeout_ms\": " + std::to_string(aRoute.mTimeoutMilliseconds);
+  row += ", \"objective_ms\": " + std::to_string(aRoute.mObjectiveMilliseconds);
   row += ", \"extra_tries\": " + std::to_string(aRoute.mExtraTries);
   return row + " }";
 }
@@ -223,6 +325,18 @@
     mTables.mClaimMap = aChange.mEncoded;
     return {};
   }
+  core::result<void> operator()(put_limits const& aChange) const
+  {
+    mTables.mLimits = aChange.mLimits;
+    return {};
+  }
+
+  core::result<void> operator()(put_label const& aChange) const
+  {
+    mTables.mLabel = aChange.mLabel;
+    return {};
+  }
+
   core::result<void> operator()(add_replica const&) const { return {}; }
   core::result<void> operator()(remove_replica const&) const { return {}; }
 
@@ -274,6 +388,19 @@
   }
 }
 
+int
+ShedLevelOfRank(std::uint32_t aRank)
+{
+  constexpr std::uint32_t kHighest = kNestedCallLevel - 1;
+  return static_cast<int>(kHighest - std::min(aRank, kHighest));
+}
+
+std::uint32_t
+PresetRank(work_class aClass)
+{
+  return static_cast<std::uint32_t>(kNestedCallLevel - 1 - ShedOrder(aClass));
+}
+
 pool
 ReadPool(core::json_reader& aReader)
 {
@@ -320,6 +447,24 @@
                  kColdStartRange,
                  kOptional,
                  "Ramp of a freshly started upstream.");
+  aReader.Text("health_path",
+               row.mHealthPath,
+               kOptional,
+               "Path that answers 200 when an upstream is healthy.");
+  aReader.Number(
+    "upstream_connections",
+    row.mUpstreamConnections,
+    kConcurrencyRange,
+    kOptional,
+    "Connections that each upstream accepts; 0 means as announced.");
+  aReader.Text("upstream_protocol",
+               row.mUpstreamProtocol,
+               kOptional,
+               "Protocol of the upstreams; h1 is HTTP/1.1.");
+  aReader.Boolean("upstream_tls",
+                  row.mUpstreamTls,
+                  kOptional,
+                  "Whether the upstreams expect TLS.");
   return row;
 }
 
@@ -331,26 +476,61 @@
   route row;
   std::vector<std::string> methods;
   aReader.Text("name", row.mName, kRequired, "Name of the row.");
-  aReader.TextList("methods", methods, kRequired, "HTTP methods, upper case.");
+  aReader.TextList(
+    "methods", methods, kRequired, "HTTP methods, upper case; * for all.");
+  aReader.Text("host", row.mHost, kOptional, "Host asked for; none for all.");
   aReader.Text("path_prefix",
                row.mPathPrefix,
                kRequired,
                "Paths that it takes; the longest match wins.");
-  aReader.Text("pool", row.mPool, kRequired, "Pool that does the work.");
+  aReader.Text("pool",
+               row.mPool,
+               kOptional,
+               "Pool that does the work; required without a split.");
+  aReader.Each(
+    "split",
+    kOptional,
+    [&row](core::json_reader& aPart) {
+      weighted_pool part;
+      aPart.Text("pool", part.mPool, kRequired, "Pool of this part.");
+      aPart.Number("weight",
+                   part.mWeight,
+                   kWeightRange,
+                   kRequired,
+                   "Share of this part, relative to the sum of all.");
+      row.mSplit.push_back(std::move(part));
+    },
+    "Divides the work over several pools.");
   aReader.Choice("class",
                  row.mClass,
                  kClassNames,
                  kRequired,
                  "Class of the work; decides what is shed first.");
+  std::int64_t rank = -1;
+  aReader.Number("rank",
+                 rank,
+                 { -1, kRankRange.mMaximum },
+                 kOptional,
+                 "Priority, 0 being the highest; -1 leaves it to the class.");
+  if (rank >= 0) {
+    row.mRank = static_cast<std::uint32_t>(rank);
+  }
   aReader.Boolean("idempotent",
                   row.mIdempotent,
                   kRequired,
                   "Whether running it twice does no harm.");
+  aReader.Boolean(
+    "large_bodies", row.mLargeBodies, kOptional, "Callers send large bodies.");
   aReader.Number("timeout_ms",
                  row.mTimeoutMilliseconds,
                  kTimeoutRange,
                  kOptional,
                  "Time for the whole request.");
+  aReader.Number("objective_ms",
+                 row.mObjectiveMilliseconds,
+                 kObjectiveRange,
+                 kOptional,
+                 "Time within which a response is worth most; 0: the timeout.");
   aReader.Number("extra_tries",
                  row.mExtraTries,
                  kExtraTriesRange,
@@ -360,9 +540,40 @@
   return row;
 }
 
+void
+ReadLimits(core::json_reader& aReader, caller_limits& aOut)
+{
+  constexpr auto kOptional = presence::kOptional;
+  aReader.Number("header_bytes",
+                 aOut.mHeaderBytes,
+                 kHeaderBytesRange,
+                 kOptional,
+                 "Longest header of a request.");
+  aReader.Number("body_bytes",
+                 aOut.mBodyBytes,
+                 kBodyBytesRange,
+                 kOptional,
+                 "Longest body of a request; 0 means no limit.");
+  aReader.Number("header_timeout_ms",
+                 aOut.mHeaderTimeoutMilliseconds,
+                 kLimitTimeRange,
+                 kOptional,
+                 "Time for the header, from its first byte.");
+  aReader.Number("idle_timeout_ms",
+                 aOut.mIdleTimeoutMilliseconds,
+                 kLimitTimeRange,
+                 kOptional,
+                 "Time that a connection may stay idle.");
+}
+
 void
 ReadTables(core::json_reader& aReader, table_set& aOut)
 {
+  aReader.Object(
+    "caller_limits",
+    presence::kOptional,
+    [&aOut](core::json_reader& aNested) { ReadLimits(aNested, aOut.mLimits); },
+    "What callers may send, and how long they may take.");
   aReader.Each(
     "pools",
     presence::kRequired,
@@ -399,7 +610,16 @@
 std::string
 FormatTables(table_set const& aTables)
 {
-  return "{\n  \"pools\": [" + FormatRows(aTables.mPools, FormatPool) +
+  auto const& limits = aTables.mLimits;
+  std::string const head =
+    "{\n  \"caller_limits\": { \"header_bytes\": " +
+    std::to_string(limits.mHeaderBytes) +
+    ", \"body_bytes\": " + std::to_string(limits.mBodyBytes) +
+    ",\n    \"header_timeout_ms\": " +
+    std::to_string(limits.mHeaderTimeoutMilliseconds) +
+    ", \"idle_timeout_ms\": " +
+    std::to_string(limits.mIdleTimeoutMilliseconds) + " },\n";
+  return head + "  \"pools\": [" + FormatRows(aTables.mPools, FormatPool) +
          "],\n  \"routes\": [" + FormatRows(aTables.mRoutes, FormatRoute) +
          "]\n}\n";
 }
@@ -460,6 +680,12 @@
       changes.emplace_back(remove_pool{ name });
     }
   }
+  if (aFrom.mLimits != aTo.mLimits) {
+    changes.emplace_back(put_limits{ aTo.mLimits });
+  }
+  if (aFrom.mLabel != aTo.mLabel) {
+    changes.emplace_back(put_label{ aTo.mLabel });
+  }
   if (aFrom.mClaimMap != aTo.mClaimMap) {
     changes.emplace_back(put_claim_map{ aTo.mClaimMap });
   }
@@ -477,33 +703,23 @@
   return changed;
 }
 
-std::uint64_t
-ContentHash(table_set const& aTables)
+std::vector<std::string>
+PoolsOf(route const& aRoute)
 {
-  return core::Hash64(EncodeTables(aTables));
+  if (aRoute.mSplit.empty()) {
+    return { aRoute.mPool };
+  }
+  std::vector<std::string> names;
+  for (auto const& part : aRoute.mSplit) {
+    names.push_back(part.mPool);
+  }
+  return names;
 }
 
-route const*
-FindRoute(table_set const& aTables,
-          std::string_view aMethod,
-          std::string_view aTarget)
+std::uint64_t
+ContentHash(table_set const& aTables)
 {
-  auto const path = aTarget.substr(0, aTarget.find('?'));
-  route const* best = nullptr;
-  for (auto const& [name, row] : aTables.mRoutes) {
-    auto const& prefix = row.mPathPrefix;
-    bool const wholeSegments =
-      prefix.ends_with('/') || path.size() == prefix.size() ||
-      (path.size() > prefix.size() && path[prefix.size()] == '/');
-    if (!path.starts_with(prefix) || !wholeSegments ||
-        !row.mMethods.contains(std::string(aMethod))) {
-      continue;
-    }
-    if (best == nullptr || prefix.size() > best->mPathPrefix.size()) {
-      best = &row;
-    }
-  }
-  return best;
+  return core::Hash64(EncodeTables(aTables));
 }
 
 }
--- a/Libraries/LibTables/TableRules.h
+++ b/Libraries/LibTables/TableRules.h
@@ -51,15 +51,12 @@
 core::result<table_set>
 ApplyChanges(table_set const& aTables, std::vector<change> const& aChanges);
 
+/// Returns the names of the pools that a route's work goes to.
+std::vector<std::string>
+PoolsOf(route const& aRoute);
+
 /// Returns a hash that is equal for equal tables on every machine.
 std::uint64_t
 ContentHash(table_set const& aTables);
 
-/// Returns the route with the longest matching prefix, or nullptr. A prefix
-/// matches whole path segments: "/orders" matches "/orders/7", not "/ordersX".
-route const*
-FindRoute(table_set const& aTables,
-          std::string_view aMethod,
-          std::string_view aTarget);
-
 }
--- a/Libraries/LibTables/Tables.h
+++ b/Libraries/LibTables/Tables.h
@@ -41,7 +41,17 @@
 int
 ShedOrder(work_class aClass);
 
-inline constexpr int kShedLevels = 3;
+/// The highest level is kept for calls of work that is in progress already.
+inline constexpr int kShedLevels = 4;
+inline constexpr int kNestedCallLevel = kShedLevels - 1;
+
+/// Returns the level of a route's rank: rank 0 is shed last.
+int
+ShedLevelOfRank(std::uint32_t aRank);
+
+/// Returns the rank that a class stands for.
+std::uint32_t
+PresetRank(work_class aClass);
 
 /// What a pool's owner weighs more when the pool is overloaded.
 enum class pool_objective : std::uint8_t
@@ -72,31 +82,77 @@
   std::uint32_t mRetryPercent = 10;
   spill_scope mSpill = spill_scope::kAll;
   std::uint32_t mColdStartMilliseconds = 10000;
+  /// Path that tells whether an upstream is healthy; empty means the settings'.
+  std::string mHealthPath;
+  /// Connections that each upstream accepts; 0 means as announced.
+  std::uint32_t mUpstreamConnections = 0;
+  /// Protocol of the upstreams; "h1" is HTTP/1.1.
+  std::string mUpstreamProtocol = "h1";
+  bool mUpstreamTls = false;
 
   auto operator<=>(pool const&) const = default;
 };
 
+/// One part of a route that is divided over several pools.
+struct weighted_pool
+{
+  std::string mPool;
+  std::uint32_t mWeight = 0;
+
+  // The check takes the zero of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(weighted_pool const&) const = default;
+};
+
 struct route
 {
   std::string mName;
-  /// Upper-case HTTP methods, sorted.
+  /// Upper-case HTTP methods, sorted; "*" stands for all.
   std::set<std::string> mMethods;
+  /// Host that callers ask for, in lower case; empty stands for all.
+  std::string mHost;
   std::string mPathPrefix;
+  /// Empty when the route is divided over mSplit.
   std::string mPool;
+  std::vector<weighted_pool> mSplit;
   work_class mClass = work_class::kCatalogue;
+  /// Priority among routes, 0 being the highest; set, it replaces the class in
+  /// the order of shedding.
+  std::optional<std::uint32_t> mRank;
   bool mIdempotent = false;
+  /// Whether callers send large bodies.
+  bool mLargeBodies = false;
   std::uint32_t mTimeoutMilliseconds = 5000;
+  /// Time within which a response is worth most; 0 means the timeout.
+  std::uint32_t mObjectiveMilliseconds = 0;
   /// Further tries for a whole customer request, at all depths together.
   std::uint32_t mExtraTries = 3;
 
   auto operator<=>(route const&) const = default;
 };
 
+/// What callers may send, and how long they may take.
+struct caller_limits
+{
+  std::uint32_t mHeaderBytes = 16384;
+  /// 0 means no limit.
+  std::uint64_t mBodyBytes = 0;
+  /// Time for the header of a request, from its first byte.
+  std::uint32_t mHeaderTimeoutMilliseconds = 10000;
+  /// Time that a connection may stay idle between requests.
+  std::uint32_t mIdleTimeoutMilliseconds = 60000;
+
+  auto operator<=>(caller_limits const&) const = default;
+};
+
 /// Both tables, keyed by row name.
 struct table_set
 {
   std::map<std::string, pool> mPools;
   std::map<std::string, route> mRoutes;
+  caller_limits mLimits;
+  /// Number that the operator gave to this version; 0 when there is none.
+  std::uint64_t mLabel = 0;
   /// Encoded claim map of LibTraffic. Kept by the control leader, not by
   /// operators, and carried along so that it reaches every daemon.
   std::string mClaimMap;
@@ -149,13 +205,36 @@
   bool operator==(put_claim_map const&) const = default;
 };
 
+struct put_limits
+{
+  caller_limits mLimits;
+  bool operator==(put_limits const&) const = default;
+};
+
+struct put_label
+{
+  std::uint64_t mLabel = 0;
+  bool operator==(put_label const&) const = default;
+};
+
 using change = std::variant<put_pool,
                             remove_pool,
                             put_route,
                             remove_route,
                             add_replica,
                             remove_replica,
-                            put_claim_map>;
+                            put_claim_map,
+                            put_limits,
+                            put_label>;
+
+/// Tables that replace all rows, built on the version labelled mBaseLabel.
+struct table_replacement
+{
+  std::uint64_t mBaseLabel = 0;
+  table_set mTables;
+
+  bool operator==(table_replacement const&) const = default;
+};
 
 /// A set of changes that is accepted as a whole or not at all.
 struct edit
--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -94,6 +94,9 @@
 void
 admission_controller::On(core::time_point aNow, call_finished const& aEvent)
 {
+  if (mFormer.erase(aEvent.mCall) > 0) {
+    return;
+  }
   auto const found = mRunning.find(aEvent.mCall);
   CF_ASSERT(found != mRunning.end(), "a call finished that was not running");
   mLimit.Record(
@@ -105,7 +108,7 @@
 void
 admission_controller::On(core::time_point aNow, call_cancelled const& aEvent)
 {
-  if (mQueue.Remove(aEvent.mCall)) {
+  if (mQueue.Remove(aEvent.mCall) || mFormer.erase(aEvent.mCall) > 0) {
     return;
   }
   auto const found = mRunning.find(aEvent.mCall);
@@ -137,7 +140,10 @@
 void
 admission_controller::On(core::time_point aNow, upstream_restarted const&)
 {
-  CF_ASSERT(mRunning.empty(), "calls of the earlier process were not ended");
+  for (auto const& [call, running] : mRunning) {
+    mFormer.insert(call);
+  }
+  mRunning.clear();
   mLimit.Restart(aNow);
 }
 
--- a/Libraries/LibTraffic/AdmissionController.h
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -50,8 +51,8 @@
   tables::pool mPool;
 };
 
-/// The upstream process runs again, with cold caches. The owner has ended all
-/// calls that the earlier process ran.
+/// The upstream process runs again, with cold caches. Calls that the earlier
+/// process ran no longer count; they end later.
 struct upstream_restarted
 {};
 
@@ -110,6 +111,8 @@
   /// Returns the stamp for a response that leaves at aNow.
   load_stamp Stamp(core::time_point aNow) const;
 
+  /// Returns how long a call waits at most.
+  core::duration LongestWait() const;
   std::size_t Running() const { return mRunning.size(); }
   std::size_t Waiting() const { return mQueue.Size(); }
 
@@ -133,7 +136,6 @@
   std::uint32_t Threshold(core::time_point aNow) const;
   bool CanMeetDeadline(core::time_point aNow, queued_call const& aCall) const;
   std::size_t QueueLimit() const;
-  core::duration LongestWait() const;
   void Enqueue(queued_call const& aCall);
   void Dispatch(core::time_point aNow);
   void Expire(core::time_point aNow);
@@ -146,6 +148,8 @@
   admission_feedback mFeedback;
   admission_queue mQueue;
   std::unordered_map<call_id, running_call> mRunning;
+  /// Admitted calls of a process of the upstream that has ended since.
+  std::unordered_set<call_id> mFormer;
   bool mDraining = false;
   actions mActions;
 };
--- a/Libraries/LibTraffic/AdmissionThreshold.cpp
+++ b/Libraries/LibTraffic/AdmissionThreshold.cpp
@@ -20,10 +20,9 @@
 std::uint32_t
 ShedPosition(call_context const& aContext, shed_rules const& aRules)
 {
-  auto const level =
-    aRules.mByClass
-      ? static_cast<std::uint32_t>(tables::ShedOrder(aContext.mClass))
-      : 0;
+  auto const preset =
+    static_cast<std::uint32_t>(tables::ShedOrder(aContext.mClass));
+  auto const level = aRules.mByClass ? aContext.mLevel.value_or(preset) : 0;
   return level * kCallerGroups + CallerGroup(aContext, aRules);
 }
 
--- a/Libraries/LibTraffic/CallContext.h
+++ b/Libraries/LibTraffic/CallContext.h
@@ -6,6 +6,7 @@
 #include "LibTables/Tables.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cranberryfold::traffic {
@@ -37,6 +38,10 @@
   std::uint32_t mDepth = 0;
   /// Idempotency key; empty when the caller sent none.
   std::string mKey;
+  /// Level in the order of shedding; nothing leaves it to the class.
+  std::optional<std::uint32_t> mLevel;
+  /// Service beside which the request came in.
+  core::service_id mOrigin;
 
   bool operator==(call_context const&) const = default;
 };
--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -132,6 +132,14 @@
   return true;
 }
 
+bool
+IsFreeMove(retry_facts const& aFacts)
+{
+  return aFacts.mOutcome == outcome::kNotRun && aFacts.mRefusal &&
+         *aFacts.mRefusal != core::refusal_reason::kUpstreamRefused &&
+         !IsFinal(*aFacts.mRefusal);
+}
+
 std::optional<retry_decision>
 DecideRetry(retry_facts const& aFacts,
             retry_ratio& aRatio,
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -99,6 +99,11 @@
   std::optional<core::duration> mBackoff;
 };
 
+/// Returns whether the call may go to another upstream at no cost: a daemon
+/// refused it before its upstream saw it, for a reason that holds there only.
+bool
+IsFreeMove(retry_facts const& aFacts);
+
 /// Decides on a further attempt, apart from the permit, which the root daemon
 /// is asked for when mBackoff is set. Takes a token from aRatio. Returns
 /// nothing when no retry comes into question: the call ran, or would be refused
--- a/Tests/LibControl/TestGroup.h
+++ b/Tests/LibControl/TestGroup.h
@@ -129,7 +129,7 @@
   submission_id Submit(core::instance_id const& aTo, tables::edit const& aEdit)
   {
     submission_id const submission{ ++mLastNumber };
-    Handle(aTo, edit_submitted{ submission, aEdit });
+    Handle(aTo, edit_submitted{ submission, aEdit, std::nullopt });
     DeliverAll();
     return submission;
   }
--- a/Tests/LibTables/TestTables.cpp
+++ b/Tests/LibTables/TestTables.cpp
@@ -1,5 +1,6 @@
 #include "LibCore/Random.h"
 #include "LibTables/Codec.h"
+#include "LibTables/RouteIndex.h"
 #include "LibTables/TableRules.h"
 
 #include <boost/test/unit_test.hpp>
@@ -77,12 +78,69 @@
 
 BOOST_AUTO_TEST_CASE(LongestPrefixWinsOnWholeSegments)
 {
-  auto const sample = Sample();
-  BOOST_TEST(FindRoute(sample, "GET", "/stock/deep/1?x=/")->mName ==
-             "read-deep");
-  BOOST_TEST(FindRoute(sample, "GET", "/stock")->mName == "read");
-  BOOST_TEST(FindRoute(sample, "GET", "/stocks") == nullptr);
-  BOOST_TEST(FindRoute(sample, "POST", "/stock") == nullptr);
+  route_index const index(std::make_shared<table_set const>(Sample()));
+  auto const find = [&index](char const* aMethod, char const* aTarget) {
+    return index.Find("any.example", aMethod, aTarget);
+  };
+  BOOST_TEST(find("GET", "/stock/deep/1?x=/")->mName == "read-deep");
+  BOOST_TEST(find("GET", "/stock/")->mName == "read");
+  BOOST_TEST(find("GET", "/stock")->mName == "read");
+  BOOST_TEST(find("GET", "/stocks") == nullptr);
+  BOOST_TEST(find("POST", "/stock") == nullptr);
+}
+
+// Guards against requests that are routed by the rows of another host.
+BOOST_AUTO_TEST_CASE(HostIsComparedBeforePrefix)
+{
+  auto tables = Sample();
+  auto& own = tables.mRoutes["own"];
+  own = tables.mRoutes["read"];
+  own.mName = "own";
+  own.mHost = "shop.example";
+  own.mPathPrefix = "/";
+  own.mMethods = { "*" };
+  BOOST_TEST(ProblemOf(tables) == "");
+  route_index const index(std::make_shared<table_set const>(tables));
+  BOOST_TEST(index.Find("Shop.Example:8080", "PUT", "/x")->mName == "own");
+  BOOST_TEST(index.Find("shop.example", "GET", "/stock/1")->mName == "own");
+  BOOST_TEST(index.Find("other.example", "GET", "/stock/1")->mName == "read");
+  BOOST_TEST(index.Find("other.example", "PUT", "/x") == nullptr);
+}
+
+// Guards against splits that lose requests or name a pool that is not there.
+BOOST_AUTO_TEST_CASE(SplitsAreChecked)
+{
+  auto tables = Sample();
+  auto& row = tables.mRoutes["read"];
+  row.mSplit = { { "stock", 90 } };
+  BOOST_TEST(ProblemOf(tables) ==
+             "route read: split: expected either a pool or a split");
+  row.mPool.clear();
+  BOOST_TEST(ProblemOf(tables) == "");
+  auto const parsed = core::Attempt(
+    [&] { return ParseTables(FormatTables(tables), "formatted"); });
+  BOOST_REQUIRE(parsed);
+  BOOST_TEST((*parsed == tables));
+  row.mSplit = { { "stock", 0 } };
+  BOOST_TEST(ProblemOf(tables) ==
+             "route read: split: expected a weight above 0");
+  row.mSplit = { { "none", 1 } };
+  BOOST_TEST(ProblemOf(tables) ==
+             "route read: split: expected names of pools, found none");
+}
+
+// Guards against an objective that no response within the timeout can reach.
+BOOST_AUTO_TEST_CASE(TimesAreChecked)
+{
+  auto tables = Sample();
+  tables.mRoutes["read"].mTimeoutMilliseconds = 0;
+  BOOST_TEST(ProblemOf(tables) ==
+             "route read: timeout_ms: expected 1 to 600000, found 0");
+  tables.mRoutes["read"].mTimeoutMilliseconds = 800;
+  tables.mRoutes["read"].mObjectiveMilliseconds = 60800;
+  BOOST_TEST(ProblemOf(tables) == "route read: objective_ms: expected less "
+                                  "than a minute above the timeout, found "
+                                  "60800");
 }
 
 // Guards against crashes and huge allocations on damaged messages.
--- /dev/null
+++ b/Tests/LibTraffic/TestSplitChooser.cpp
@@ -0,0 +1,42 @@
+#include "LibTraffic/SplitChooser.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace cranberryfold;
+
+BOOST_AUTO_TEST_SUITE(SplitChooser)
+
+// Guards against shares that are right on average only: a canary of 10% would
+// get bursts and gaps.
+BOOST_AUTO_TEST_CASE(EachRunOfRequestsKeepsTheProportions)
+{
+  tables::route route;
+  route.mName = "read";
+  route.mSplit = { { "old", 9 }, { "new", 1 } };
+  traffic::split_chooser chooser;
+  std::map<std::string, int> counts;
+  for (int request = 0; request < 100; ++request) {
+    ++counts[chooser.Choose(route)];
+    if (request % 10 == 9) {
+      BOOST_TEST(counts["new"] == (request + 1) / 10);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChangedWeightsCountFromTheNextRequest)
+{
+  tables::route route;
+  route.mName = "read";
+  route.mSplit = { { "old", 1 }, { "new", 0 } };
+  traffic::split_chooser chooser;
+  BOOST_TEST(chooser.Choose(route) == "old");
+  route.mSplit = { { "old", 0 }, { "new", 1 } };
+  BOOST_TEST(chooser.Choose(route) == "new");
+  route.mSplit.clear();
+  route.mPool = "only";
+  BOOST_TEST(chooser.Choose(route) == "only");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Platform/TestReports.cpp
@@ -0,0 +1,112 @@
+#include "platform/Dialect.h"
+#include "platform/Reports.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryfold;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char const* kHeartbeat =
+  R"({"Address":"10.1.0.8:8301","born":1700000000000,
+  "Info":{"Service":"desk","Version":"v1","Zone":"a","Slots":62},
+  "Status":{"State":"draining","Sequence":4,"ColdRemainingMs":250}})";
+
+daemon::http_fields
+Fields(std::initializer_list<std::pair<char const*, char const*>> aFields)
+{
+  daemon::http_fields fields;
+  for (auto const& [name, value] : aFields) {
+    fields.set(name, value);
+  }
+  return fields;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(PlatformReports)
+
+BOOST_AUTO_TEST_CASE(HeartbeatBecomesAReport)
+{
+  auto const report =
+    core::Attempt([] { return platform::DecodeHeartbeat("i-1", kHeartbeat); });
+  BOOST_REQUIRE(report);
+  BOOST_TEST(report->mId.mValue == "i-1");
+  BOOST_TEST(report->mStarted == 1700000000000U);
+  BOOST_TEST(report->mSequence == 4);
+  BOOST_TEST(report->mSlots == 62);
+  BOOST_TEST((report->mLifecycle == membership::lifecycle_state::kDraining));
+  BOOST_TEST((report->mColdRemaining == 250ms));
+}
+
+// Guards against reports of other writers that would name an upstream.
+BOOST_AUTO_TEST_CASE(UnreadableHeartbeatsAreRefused)
+{
+  for (auto const* const body :
+       { "",
+         "[]",
+         "{",
+         R"({"Address":"10.1.0.8:8301","Info":{},"Status":{}})",
+         R"({"Address":"10.1.0.8:8301",
+             "Info":{"Service":"desk","Slots":"many"},
+             "Status":{"State":"ready","Sequence":4,"ColdRemainingMs":0}})",
+         R"({"Address":"10.1.0.8:8301","Info":{"Service":"desk","Slots":1},
+             "Status":{"State":"odd","Sequence":4,"ColdRemainingMs":0}})" }) {
+    auto const report =
+      core::Attempt([&] { return platform::DecodeHeartbeat("i-1", body); });
+    BOOST_TEST(!report, body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FarewellNeedsNoBody)
+{
+  for (auto const* const body : { "", "{}", R"({"born":5})" }) {
+    auto const report =
+      core::Attempt([&] { return platform::DecodeFarewell("i-1", body); });
+    BOOST_REQUIRE(report);
+    BOOST_TEST((report->mLifecycle == membership::lifecycle_state::kLeft));
+  }
+}
+
+// Guards against "not run" for a response that does not say so.
+BOOST_AUTO_TEST_CASE(OnlyTheUpstreamsWordMeansNotRun)
+{
+  auto const dialect = platform::MakeDialect();
+  BOOST_TEST(
+    dialect.mReadResponse(503, Fields({ { "Not-Executed", "1" } })).mIsNotRun);
+  BOOST_TEST(dialect.mReadResponse(421, Fields({})).mIsNotRun);
+  BOOST_TEST(!dialect.mReadResponse(503, Fields({})).mIsNotRun);
+  BOOST_TEST(!dialect.mReadResponse(500, Fields({})).mIsNotRun);
+}
+
+// Guards against bytes of a faulty upstream that are passed on as a success.
+BOOST_AUTO_TEST_CASE(SuccessWithoutStampIsDamaged)
+{
+  auto const dialect = platform::MakeDialect();
+  BOOST_TEST(dialect.mReadResponse(200, Fields({})).mIsDamaged);
+  BOOST_TEST(!dialect.mReadResponse(200, Fields({ { "Response-Stamp", "x" } }))
+                .mIsDamaged);
+  BOOST_TEST(!dialect.mReadResponse(500, Fields({})).mIsDamaged);
+}
+
+BOOST_AUTO_TEST_CASE(CallerFactsAndContext)
+{
+  auto const dialect = platform::MakeDialect();
+  auto const facts = dialect.mReadCaller(
+    Fields({ { "Request-Id", "9c41" }, { "Deadline-Ms", "6000" } }));
+  BOOST_TEST(facts.mRequest.mValue == "9c41");
+  BOOST_TEST((*facts.mTimeLeft == 6s));
+  daemon::http_fields out;
+  traffic::call_context context;
+  context.mDeadline = core::time_point(2s);
+  context.mOrigin = { "desk" };
+  dialect.mWriteContext(out, context, { "i-1" }, core::time_point(1500ms));
+  BOOST_TEST(out["Deadline-Ms"] == "500");
+  BOOST_TEST(out["Caller-Service"] == "desk");
+  BOOST_TEST(out["Expect-Instance"] == "i-1");
+  BOOST_TEST(dialect.mIsOwnHeader("caller-service"));
+  BOOST_TEST(!dialect.mIsOwnHeader("Request-Id"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/RandomRun/ControlOperators.cpp
+++ b/Utilities/RandomRun/ControlOperators.cpp
@@ -113,11 +113,12 @@
   }
   auto const edit = *operating.mEdit;
   auto const target = operating.mTarget;
-  mTimers.Once(
-    mNow + std::chrono::milliseconds(1),
-    [this, submission, edit, target](core::time_point) {
-      Deliver(mNodes[target], control::edit_submitted{ submission, edit });
-    });
+  mTimers.Once(mNow + std::chrono::milliseconds(1),
+               [this, submission, edit, target](core::time_point) {
+                 Deliver(
+                   mNodes[target],
+                   control::edit_submitted{ submission, edit, std::nullopt });
+               });
 }
 
 void
--- a/Utilities/RandomRun/ControlRestart.cpp
+++ b/Utilities/RandomRun/ControlRestart.cpp
@@ -38,8 +38,8 @@
       BOOST_LEAF_CHECK(Handle(control::tick{}));
     }
     for (std::uint64_t number = 0; number < aEdits; ++number) {
-      BOOST_LEAF_CHECK(
-        Handle(control::edit_submitted{ { number }, MakeEdit(number) }));
+      BOOST_LEAF_CHECK(Handle(
+        control::edit_submitted{ { number }, MakeEdit(number), std::nullopt }));
     }
     BOOST_LEAF_CHECK(Handle(control::tick{}));
     mReplica.reset();
