--- a/Libraries/LibDaemon/CallFramesCodec.h
+++ b/Libraries/LibDaemon/CallFramesCodec.h
@@ -18,7 +18,9 @@
            aContext.mDepth,
            aContext.mKey,
            aContext.mLevel,
-           aContext.mOrigin);
+           aContext.mOrigin,
+           aContext.mIsRepeat,
+           aContext.mRoute);
 }
 
 template<class Archive>
@@ -28,7 +30,9 @@
   aArchive(aStamp.mInFlight,
            aStamp.mLimit,
            aStamp.mAdmissionThreshold,
-           aStamp.mDraining);
+           aStamp.mDraining,
+           aStamp.mServiceMicroseconds,
+           aStamp.mDownstreamThreshold);
 }
 
 }
--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -15,6 +15,7 @@
 /// Upstreams that a call may move on to after daemons refused it. Under
 /// overload of the whole service, each further one adds a hop for nothing.
 constexpr std::uint32_t kMostFreeMoves = 3;
+constexpr std::uint32_t kFirstServerError = 500;
 
 }
 
@@ -86,7 +87,9 @@
   facts.mIdempotent = mRequest.mRoute->mIdempotent;
   facts.mTimedOut = aRefusal.mReason == refusal_reason::kDeadlineExceeded;
   facts.mAttempts = mAttempts;
-  facts.mTimeLeft = mRequest.mContext.mDeadline - Now();
+  facts.mNow = Now();
+  facts.mTimeLeft = mRequest.mContext.mDeadline - facts.mNow;
+  facts.mLevel = traffic::ShedLevel(traffic::ShedPosition(mRequest.mContext));
   if (traffic::IsFreeMove(facts) && mFreeMoves < kMostFreeMoves) {
     ++mFreeMoves;
     mServices.mMetrics.CountRetry(retry_reason::kNotRun);
@@ -106,6 +109,7 @@
     co_return false;
   }
   mServices.mMetrics.CountRetry(decision->mReason);
+  mRequest.mContext.mIsRepeat = true;
   asio::steady_timer backoff(mServices.mExecutor, *decision->mBackoff);
   co_await backoff.async_wait(kAsTuple);
   mBody.Rewind();
@@ -169,6 +173,7 @@
   mTried.push_back(aChosen.mInstance);
   mBodyEndSent = !mRequest.mHasBody;
   mLastStamp.reset();
+  mLastStatus = 0;
   mAttemptBytes = 0;
   auto const started = Now();
   auto& link = mServices.mLinks.To(aChosen.mPeerAddress);
@@ -194,6 +199,8 @@
   report.mLatency = Now() - started;
   report.mStamp = mLastStamp;
   report.mBytes = mAttemptBytes;
+  report.mRoute = mRequest.mContext.mRoute;
+  report.mServerError = mLastStatus >= kFirstServerError;
   mServices.mPolicy.Report(Now(), mRequest.mPool, report);
   co_return result;
 }
@@ -234,6 +241,7 @@
     }
     if (auto const* const head = std::get_if<answer_head>(&event)) {
       hasAnswer = true;
+      mLastStatus = head->mStatus;
       mLastStamp = head->mStamp;
       if (!co_await mSink.mWriteHead(*head, aChosen.mInstance)) {
         co_return Stopped(refusal_reason::kBadRequest, true);
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -110,6 +110,8 @@
   bool mIsAbandoned = false;
   bool mBodyEndSent = false;
   std::optional<traffic::load_stamp> mLastStamp;
+  /// Status of the answer to the present attempt; 0 before it.
+  std::uint32_t mLastStatus = 0;
   std::uint64_t mAttemptBytes = 0;
   core::time_point mDispatchLimit = core::time_point::max();
 };
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -19,6 +19,8 @@
 /// The settings file may change without a signal.
 constexpr core::duration kSettingsCheckInterval = 5s;
 constexpr core::duration kUpstreamCheckInterval = 1s;
+/// Single refusals are limited in the log; this line counts all of them.
+constexpr core::duration kDigestInterval = 5s;
 constexpr core::duration kClaimTick = 100ms;
 constexpr core::duration kActivationInterval = 1s;
 constexpr core::duration kSenderInterval = 1s;
@@ -302,6 +304,9 @@
                  kSettingsCheckInterval,
                  [this](core::time_point) { ReloadSettings(); });
   }
+  timers.Every(Now() + kDigestInterval,
+               kDigestInterval,
+               [this](core::time_point) { LogDigest(); });
   timers.Every(Now(), kSenderInterval, [this](core::time_point) {
     mControl.NoteSenders(mPolicy.TakeSenders());
     mMetrics.SetGauge("calls_in_flight",
@@ -397,6 +402,21 @@
   }
 }
 
+void
+mesh_daemon::LogDigest()
+{
+  auto const changed = mMetrics.Digest();
+  if (changed.empty()) {
+    return;
+  }
+  auto line = core::LogInfo("refusals");
+  line.Field("load", static_cast<std::int64_t>(mPolicy.CallsInFlight()));
+  line.Field("threshold", mPolicy.Stamp(Now(), {}).mAdmissionThreshold);
+  for (auto const& [name, count] : changed) {
+    line.Field(name, count);
+  }
+}
+
 void
 mesh_daemon::ReloadSettings()
 {
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -51,6 +51,8 @@
   std::optional<membership::report_outcome> ReportUpstream(
     membership::upstream_report const& aReport);
   void ApplyUpstreamFacts();
+  /// Logs how many refusals and retries there were, by reason.
+  void LogDigest();
   /// Takes over what may change while the daemon runs: the seeds.
   void ReloadSettings();
   task<void> WatchUpstream();
--- a/Libraries/LibDaemon/HttpDialect.cpp
+++ b/Libraries/LibDaemon/HttpDialect.cpp
@@ -83,6 +83,9 @@
   http_dialect dialect;
   dialect.mReadCaller = ReadCaller;
   dialect.mReadContext = ReadContext;
+  dialect.mParentOf = [](core::request_id const&) {
+    return core::request_id{};
+  };
   dialect.mWriteContext = [](http_fields& aFields,
                              traffic::call_context const& aContext,
                              membership::upstream_id const&,
--- a/Libraries/LibDaemon/HttpDialect.h
+++ b/Libraries/LibDaemon/HttpDialect.h
@@ -50,6 +50,9 @@
   std::function<std::optional<traffic::call_context>(http_fields const&,
                                                      core::time_point)>
     mReadContext;
+  /// Returns the request whose run may have made a call without a context, or
+  /// an empty id. It is the maker if it runs at the own upstream.
+  std::function<core::request_id(core::request_id const&)> mParentOf;
   /// Adds context and the process that the call is meant for to a request for
   /// the upstream.
   std::function<void(http_fields&,
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -158,6 +158,7 @@
 
   task<bool> Serve()
   {
+    mStarted = Now();
     auto const view = Outgoing().mPolicy.View();
     auto const& message = mParser->get();
     auto const method = std::string(message.method_string());
@@ -193,30 +194,18 @@
     co_return co_await RunRequest(std::move(request));
   }
 
-  /// Whether the request comes from the own upstream.
-  bool IsNested()
-  {
-    if (mKind == listener_kind::kEgress) {
-      return true;
-    }
-    if (!Outgoing().mSettings.mSharesCallerListener) {
-      return false;
-    }
-    beast::error_code code;
-    auto const remote = mStream.socket().remote_endpoint(code);
-    auto const local = mStream.socket().local_endpoint(code);
-    return !code && (remote.address() == local.address() ||
-                     remote.address().is_loopback());
-  }
-
   traffic::call_context MakeContext(tables::route const& aRoute)
   {
     auto const now = Now();
     auto const& message = mParser->get();
-    mIsNested = IsNested();
+    mIsNested = mKind == listener_kind::kEgress;
+    mOwnsBudget = true;
     if (mIsNested) {
       if (auto context = mServices.mDialect.mReadContext(message, now)) {
+        mOwnsBudget = false;
         ++context->mDepth;
+        context->mParent = context->mRequest;
+        context->mRoute = aRoute.mName;
         return *context;
       }
     }
@@ -236,16 +225,34 @@
     context.mCallerHash = HashCaller(facts.mCaller);
     context.mKey = Outgoing().mSettings.mClaims ? facts.mKey : std::string();
     context.mOrigin = Outgoing().mSettings.mUpstream.mService;
+    context.mRoute = aRoute.mName;
+    InheritFromParent(context);
     return context;
   }
 
-  /// A call of work that is in progress comes before new work: refusing it
-  /// wastes what has been done.
-  std::optional<std::uint32_t> LevelOf(tables::route const& aRoute) const
+  /// A call of a run at the own upstream takes the place of that run in the
+  /// order of shedding, so that work is carried through or refused as a whole.
+  void InheritFromParent(traffic::call_context& aContext)
+  {
+    auto const parent = mServices.mDialect.mParentOf(aContext.mRequest);
+    if (parent.IsEmpty()) {
+      return;
+    }
+    auto const run = Outgoing().mPolicy.ContextOfRun(parent);
+    if (!run) {
+      return;
+    }
+    mIsNested = true;
+    aContext.mParent = parent;
+    aContext.mDepth = run->mDepth + 1;
+    aContext.mClass = run->mClass;
+    aContext.mLevel = run->mLevel;
+    aContext.mCallerHash = run->mCallerHash;
+    aContext.mIsRepeat = run->mIsRepeat;
+  }
+
+  static std::optional<std::uint32_t> LevelOf(tables::route const& aRoute)
   {
-    if (mIsNested) {
-      return static_cast<std::uint32_t>(tables::kNestedCallLevel);
-    }
     if (!aRoute.mRank) {
       return std::nullopt;
     }
@@ -304,7 +311,7 @@
       Outgoing().mExecutor,
       [self = shared_from_this(), runner] { return self->ReadBody(runner); },
       asio::detached);
-    bool const isRoot = context.mDepth == 0;
+    bool const isRoot = mOwnsBudget;
     if (isRoot) {
       Outgoing().mPolicy.OpenBudget(Now(), context, extraTries);
     }
@@ -462,6 +469,7 @@
     auto const status = mServices.mDialect.mStatusFor(aRefusal);
     Outgoing().mMetrics.CountRefusal(refusal_place::kCaller, aRefusal.mReason);
     Outgoing().mMetrics.CountResponse(mClass, status);
+    LogRefusal(aRefusal, status);
     auto const& message = mParser->get();
     http::response<http::string_body> response;
     response.version(message.version());
@@ -487,6 +495,20 @@
     co_return keepAlive&& isWhole;
   }
 
+  void LogRefusal(call_refusal const& aRefusal, unsigned aStatus) const
+  {
+    auto const facts = mServices.mDialect.mReadCaller(mParser->get());
+    core::LogInfo("request_refused")
+      .Field("request", facts.mRequest.mValue)
+      .Field("target", mParser->get().target())
+      .Field("nested", mIsNested ? "yes" : "no")
+      .Field("status", aStatus)
+      .Field("outcome", OutcomeName(aRefusal.mOutcome))
+      .Field("reason", core::ReasonName(aRefusal.mReason))
+      .Field("retry_after_ms", core::Milliseconds(aRefusal.mRetryAfter))
+      .Field("age_ms", core::Milliseconds(Now() - mStarted));
+  }
+
   /// Reads what is left of the request. Returns whether that was all of it.
   task<bool> DiscardBody()
   {
@@ -523,7 +545,10 @@
   /// Wakes the reader when the body buffer has room again.
   signal mRoom;
   tables::work_class mClass = tables::work_class::kCatalogue;
+  core::time_point mStarted;
   bool mIsNested = false;
+  /// Whether the retry budget of the request is kept here.
+  bool mOwnsBudget = true;
   bool mIsTooLarge = false;
   bool mHasContinued = false;
   bool mIsReading = false;
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -437,7 +437,7 @@
     head.mContentLength = *length;
   }
   head.mHasBody = !aParser.is_done();
-  head.mStamp = mServices.mPolicy.Stamp(Now());
+  head.mStamp = mServices.mPolicy.Stamp(Now(), mHead.mContext.mRoute);
   mChannel->Send(head);
 }
 
@@ -496,12 +496,13 @@
 void
 incoming_call::SendRefusal(call_refusal const& aRefusal)
 {
-  mChannel->Send(refusal{ mHead.mStream,
-                          mHead.mAttempt,
-                          aRefusal.mOutcome,
-                          aRefusal.mReason,
-                          aRefusal.mRetryAfter,
-                          mServices.mPolicy.Stamp(Now()) });
+  mChannel->Send(
+    refusal{ mHead.mStream,
+             mHead.mAttempt,
+             aRefusal.mOutcome,
+             aRefusal.mReason,
+             aRefusal.mRetryAfter,
+             mServices.mPolicy.Stamp(Now(), mHead.mContext.mRoute) });
 }
 
 }
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -2,6 +2,10 @@
 
 #include "LibDaemon/HttpFields.h"
 
+#include <algorithm>
+#include <array>
+#include <map>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
@@ -15,6 +19,12 @@
 using prometheus::Family;
 using prometheus::Gauge;
 
+constexpr std::size_t kRefusalPlaces =
+  static_cast<std::size_t>(refusal_place::kListener) + 1;
+constexpr std::size_t kOutcomes =
+  static_cast<std::size_t>(traffic::outcome::kUnknown) + 1;
+constexpr std::size_t kStatusClasses = 5;
+
 std::string_view
 PlaceName(refusal_place aPlace)
 {
@@ -70,16 +80,50 @@
   Counter& mInterRegionBytes =
     mOther.Add({ { "event", "inter_region_bytes" } });
   Counter& mLateFrames = mOther.Add({ { "event", "late_frames" } });
+  // Looking a counter up by its labels costs more than counting, so that all
+  // are made at the start. A rate over a new reason is right then, too.
+  std::array<std::array<Counter*, core::kRefusalReasonCount>, kRefusalPlaces>
+    mRefusalCounters{};
+  std::array<Counter*, core::kRetryReasonCount> mRetryCounters{};
+  std::array<Counter*, kOutcomes> mAttemptCounters{};
+  std::array<std::array<Counter*, kStatusClasses>, tables::kWorkClassCount>
+    mResponseCounters{};
+  /// What Digest() has told before.
+  std::map<std::string, double> mTold;
 };
 
 metrics::metrics()
   : mFamilies(std::make_unique<families>())
 {
-  // All reasons exist from the start, so that a rate over a new one is right.
-  for (std::size_t index = 0; index < core::kRetryReasonCount; ++index) {
-    auto const reason = static_cast<core::retry_reason>(index);
-    mFamilies->mRetries.Add(
-      { { "reason", std::string(core::ReasonName(reason)) } });
+  auto& all = *mFamilies;
+  for (std::size_t place = 0; place < kRefusalPlaces; ++place) {
+    for (std::size_t reason = 0; reason < core::kRefusalReasonCount; ++reason) {
+      all.mRefusalCounters.at(place).at(reason) = &all.mRefusals.Add(
+        { { "place",
+            std::string(PlaceName(static_cast<refusal_place>(place))) },
+          { "reason",
+            std::string(
+              core::ReasonName(static_cast<core::refusal_reason>(reason))) } });
+    }
+  }
+  for (std::size_t reason = 0; reason < core::kRetryReasonCount; ++reason) {
+    auto const name = core::ReasonName(static_cast<core::retry_reason>(reason));
+    all.mRetryCounters.at(reason) =
+      &all.mRetries.Add({ { "reason", std::string(name) } });
+  }
+  for (std::size_t index = 0; index < kOutcomes; ++index) {
+    auto const name = OutcomeName(static_cast<traffic::outcome>(index));
+    all.mAttemptCounters.at(index) =
+      &all.mAttempts.Add({ { "outcome", std::string(name) } });
+  }
+  for (std::size_t index = 0; index < tables::kWorkClassCount; ++index) {
+    auto const name =
+      tables::WorkClassName(static_cast<tables::work_class>(index));
+    for (std::size_t status = 0; status < kStatusClasses; ++status) {
+      all.mResponseCounters.at(index).at(status) = &all.mResponses.Add(
+        { { "class", std::string(name) },
+          { "status", std::to_string(status + 1) + "xx" } });
+    }
   }
 }
 
@@ -88,36 +132,62 @@
 void
 metrics::CountRefusal(refusal_place aPlace, core::refusal_reason aReason)
 {
-  mFamilies->mRefusals
-    .Add({ { "place", std::string(PlaceName(aPlace)) },
-           { "reason", std::string(core::ReasonName(aReason)) } })
-    .Increment();
+  mFamilies->mRefusalCounters.at(static_cast<std::size_t>(aPlace))
+    .at(static_cast<std::size_t>(aReason))
+    ->Increment();
 }
 
 void
 metrics::CountRetry(core::retry_reason aReason)
 {
-  mFamilies->mRetries
-    .Add({ { "reason", std::string(core::ReasonName(aReason)) } })
-    .Increment();
+  mFamilies->mRetryCounters.at(static_cast<std::size_t>(aReason))->Increment();
 }
 
 void
 metrics::CountAttempt(traffic::outcome aOutcome)
 {
-  mFamilies->mAttempts
-    .Add({ { "outcome", std::string(OutcomeName(aOutcome)) } })
-    .Increment();
+  mFamilies->mAttemptCounters.at(static_cast<std::size_t>(aOutcome))
+    ->Increment();
 }
 
 void
 metrics::CountResponse(tables::work_class aClass, unsigned aStatus)
 {
   constexpr unsigned kStatusClassSize = 100;
-  mFamilies->mResponses
-    .Add({ { "class", std::string(tables::WorkClassName(aClass)) },
-           { "status", std::to_string(aStatus / kStatusClassSize) + "xx" } })
-    .Increment();
+  auto const status =
+    std::clamp<std::size_t>(aStatus / kStatusClassSize, 1, kStatusClasses);
+  mFamilies->mResponseCounters.at(static_cast<std::size_t>(aClass))
+    .at(status - 1)
+    ->Increment();
+}
+
+std::vector<std::pair<std::string, std::int64_t>>
+metrics::Digest()
+{
+  std::vector<std::pair<std::string, std::int64_t>> changed;
+  auto const note = [&](std::string aName, Counter const& aCounter) {
+    auto& told = mFamilies->mTold[aName];
+    auto const value = aCounter.Value();
+    if (value > told) {
+      changed.emplace_back(std::move(aName),
+                           static_cast<std::int64_t>(value - told));
+      told = value;
+    }
+  };
+  for (std::size_t place = 0; place < kRefusalPlaces; ++place) {
+    for (std::size_t reason = 0; reason < core::kRefusalReasonCount; ++reason) {
+      auto const name =
+        std::string(PlaceName(static_cast<refusal_place>(place))) + "." +
+        std::string(
+          core::ReasonName(static_cast<core::refusal_reason>(reason)));
+      note(name, *mFamilies->mRefusalCounters.at(place).at(reason));
+    }
+  }
+  for (std::size_t reason = 0; reason < core::kRetryReasonCount; ++reason) {
+    auto const name = core::ReasonName(static_cast<core::retry_reason>(reason));
+    note("retry." + std::string(name), *mFamilies->mRetryCounters.at(reason));
+  }
+  return changed;
 }
 
 void
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 /// Counters and gauges of one daemon, in Prometheus' text format. Safe to use
 /// from all threads.
@@ -40,6 +42,10 @@
   void CountLateFrame();
   void SetGauge(std::string_view aName, double aValue);
 
+  /// Returns refusals and retries since the last call by place and reason,
+  /// without those that stand still. For one thread.
+  std::vector<std::pair<std::string, std::int64_t>> Digest();
+
   /// Returns all in the text exposition format.
   std::string Text() const;
 
--- a/Libraries/LibDaemon/Settings.cpp
+++ b/Libraries/LibDaemon/Settings.cpp
@@ -153,10 +153,6 @@
                  kGraceRange,
                  kOptional,
                  "Time for which callers are served after a stop request.");
-  aReader.Boolean("shares_caller_listener",
-                  aOut.mSharesCallerListener,
-                  kOptional,
-                  "Calls of the own upstream come to caller_address.");
   aReader.Boolean("claims",
                   aOut.mClaims,
                   kOptional,
--- a/Libraries/LibDaemon/Settings.h
+++ b/Libraries/LibDaemon/Settings.h
@@ -67,9 +67,6 @@
   /// Time for which callers are still served after a stop was requested, since
   /// they learn of it late.
   std::uint32_t mDrainServeMilliseconds = 0;
-  /// Whether calls of the own upstream come to the listener for callers, from
-  /// the instance's own IP number.
-  bool mSharesCallerListener = false;
   /// Whether requests with an idempotency key are claimed before they run.
   bool mClaims = true;
   core::log_level mLogLevel = core::log_level::kInfo;
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -63,6 +63,7 @@
   }
   ConfigurePools();
   mSplits.Keep(mView->Tables());
+  mDependency.Keep(mView->Tables());
 }
 
 std::string
@@ -138,7 +139,8 @@
   if (run == mRuns.end()) {
     return;
   }
-  auto const [first, last] = mRunsOfRequest.equal_range(run->second.mRequest);
+  auto const [first, last] =
+    mRunsOfRequest.equal_range(run->second.mContext.mRequest);
   auto const entry = std::find_if(first, last, [aCall](auto const& aEntry) {
     return aEntry.second == aCall;
   });
@@ -148,30 +150,48 @@
   mRuns.erase(run);
 }
 
+std::uint32_t
+traffic_policy::DownstreamThreshold(core::time_point aNow,
+                                    std::string const& aRoute) const
+{
+  std::uint32_t highest = 0;
+  for (auto const& needed : mDependency.Needed(aRoute)) {
+    auto const pool = mPools.find(needed.mPool);
+    if (pool != mPools.end()) {
+      highest = std::max(highest,
+                         pool->second.mSelector.Threshold(aNow, needed.mRoute));
+    }
+  }
+  return highest;
+}
+
 bool
 traffic_policy::WouldBeRefusedBelow(core::time_point aNow,
                                     traffic::call_context const& aContext) const
 {
-  auto next = aContext;
-  ++next.mDepth;
-  for (auto const& name : mDependency.NeededPools(aContext.mClass)) {
-    auto const pool = mPools.find(name);
-    if (pool != mPools.end() &&
-        pool->second.mSelector.WouldRefuse(aNow, next)) {
-      return true;
-    }
-  }
-  return false;
+  return traffic::ShedPosition(aContext) <
+         DownstreamThreshold(aNow, aContext.mRoute);
 }
 
 void
-traffic_policy::NoteCalledPool(core::request_id const& aRequest,
-                               std::string const& aPool)
+traffic_policy::NoteCallee(core::request_id const& aParent,
+                           traffic::callee const& aCallee)
 {
-  auto const [first, last] = mRunsOfRequest.equal_range(aRequest);
+  auto const [first, last] = mRunsOfRequest.equal_range(aParent);
   for (auto entry = first; entry != last; ++entry) {
-    mRuns.at(entry->second).mPools.push_back(aPool);
+    mRuns.at(entry->second).mCallees.push_back(aCallee);
+  }
+}
+
+std::optional<traffic::call_context>
+traffic_policy::ContextOfRun(core::request_id const& aRequest) const
+{
+  std::scoped_lock const lock(mMutex);
+  auto const found = mRunsOfRequest.find(aRequest);
+  if (found == mRunsOfRequest.end()) {
+    return std::nullopt;
   }
+  return mRuns.at(found->second).mContext;
 }
 
 void
@@ -206,7 +226,7 @@
                                       refusal_reason::kSenderCutOff,
                                       kDefaultRetryAfter });
     } else {
-      mRuns[call] = { aContext.mRequest, aContext.mClass, {} };
+      mRuns[call] = { aContext, {} };
       mRunsOfRequest.emplace(aContext.mRequest, call);
       mWaiting.emplace(call, std::move(aCallback));
       made = Handle(aNow, traffic::call_arrived{ call, aContext });
@@ -228,7 +248,7 @@
     made = Handle(aNow, traffic::call_finished{ aCall, aSucceeded, aLatency });
     auto const run = mRuns.find(aCall);
     if (aSucceeded && run != mRuns.end()) {
-      mDependency.CountRun(run->second.mClass, run->second.mPools);
+      mDependency.CountRun(run->second.mContext.mRoute, run->second.mCallees);
     }
     ForgetRun(aCall);
   }
@@ -345,10 +365,12 @@
 }
 
 traffic::load_stamp
-traffic_policy::Stamp(core::time_point aNow) const
+traffic_policy::Stamp(core::time_point aNow, std::string const& aRoute) const
 {
   std::scoped_lock const lock(mMutex);
-  return mAdmission.Stamp(aNow);
+  auto stamp = mAdmission.Stamp(aNow);
+  stamp.mDownstreamThreshold = DownstreamThreshold(aNow, aRoute);
+  return stamp;
 }
 
 std::variant<traffic::chosen_upstream, call_refusal>
@@ -364,8 +386,14 @@
                          refusal_reason::kNoUpstream,
                          kDefaultRetryAfter };
   }
-  if (aContext.mDepth > 0 && aTried.empty()) {
-    NoteCalledPool(aContext.mRequest, aPool);
+  if (aTried.empty()) {
+    pool->second.mRatio.CountCall(aNow);
+    if (aContext.mIsRepeat) {
+      pool->second.mRatio.CountRepeat(aNow);
+    }
+  }
+  if (!aContext.mParent.IsEmpty() && aTried.empty()) {
+    NoteCallee(aContext.mParent, { aPool, aContext.mRoute });
   }
   auto const choice = pool->second.mSelector.Select(aNow, aContext, aTried);
   if (auto const* const refused =
@@ -388,9 +416,6 @@
     return;
   }
   pool->second.mSelector.Report(aNow, aReport);
-  if (aReport.mOutcome == outcome::kRan) {
-    pool->second.mRatio.CountSuccess();
-  }
 }
 
 std::optional<traffic::retry_decision>
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -85,7 +85,14 @@
   bool IsUpstreamReady() const;
   /// Calls at the local upstream, running or waiting.
   std::size_t CallsInFlight() const;
-  traffic::load_stamp Stamp(core::time_point aNow) const;
+  /// Returns the stamp for the response to a call of aRoute.
+  traffic::load_stamp Stamp(core::time_point aNow,
+                            std::string const& aRoute) const;
+
+  /// Returns the context of a call that the local upstream runs; nothing when
+  /// it runs none of that id.
+  std::optional<traffic::call_context> ContextOfRun(
+    core::request_id const& aRequest) const;
 
   /// Chooses the upstream for an attempt; aTried are earlier attempts of the
   /// same call. Each choice is followed by exactly one Report().
@@ -126,12 +133,11 @@
     traffic::retry_ratio mRatio;
   };
 
-  /// A customer request that the local upstream runs, and what it has called.
+  /// A call that the local upstream runs, and what it has called.
   struct local_run
   {
-    core::request_id mRequest;
-    tables::work_class mClass = tables::work_class::kCatalogue;
-    std::vector<std::string> mPools;
+    traffic::call_context mContext;
+    std::vector<traffic::callee> mCallees;
   };
 
   /// Callbacks to run after the lock is released.
@@ -146,8 +152,11 @@
   /// running the first part would be wasted.
   bool WouldBeRefusedBelow(core::time_point aNow,
                            traffic::call_context const& aContext) const;
-  void NoteCalledPool(core::request_id const& aRequest,
-                      std::string const& aPool);
+  /// Returns the threshold that calls of aRoute would meet further down.
+  std::uint32_t DownstreamThreshold(core::time_point aNow,
+                                    std::string const& aRoute) const;
+  void NoteCallee(core::request_id const& aParent,
+                  traffic::callee const& aCallee);
   bool IsServing() const;
   void ConfigureAdmission(core::time_point aNow);
   void ConfigurePools();
--- a/Libraries/LibTables/Serialize.h
+++ b/Libraries/LibTables/Serialize.h
@@ -16,10 +16,11 @@
   aArchive(aPool.mName, aPool.mService);
   wire::SerializeEnumeration(
     aArchive, aPool.mObjective, pool_objective::kRecoveryTime);
-  aArchive(aPool.mMaxConcurrency,
-           aPool.mQueueLimit,
-           aPool.mQueueWaitMilliseconds,
-           aPool.mRetryPercent);
+  aArchive(aPool.mMaxConcurrency);
+  wire::SerializeEnumeration(
+    aArchive, aPool.mConcurrency, concurrency_policy::kSlots);
+  aArchive(
+    aPool.mQueueLimit, aPool.mQueueWaitMilliseconds, aPool.mRetryPercent);
   wire::SerializeEnumeration(aArchive, aPool.mSpill, spill_scope::kAll);
   aArchive(aPool.mColdStartMilliseconds,
            aPool.mHealthPath,
--- a/Libraries/LibTables/TableRules.cpp
+++ b/Libraries/LibTables/TableRules.cpp
@@ -28,6 +28,10 @@
     { pool_objective::kRecoveryTime, "recovery_time" } }
 };
 
+constexpr std::array<enumeration_name<concurrency_policy>, 2> kConcurrencyNames{
+  { { concurrency_policy::kAdaptive, "adaptive" },
+    { concurrency_policy::kSlots, "slots" } }
+};
 constexpr std::array<enumeration_name<spill_scope>, 3> kSpillNames{
   { { spill_scope::kZone, "zone" },
     { spill_scope::kRegion, "region" },
@@ -243,6 +247,8 @@
   row += ", \"service\": " + Quote(aPool.mService.mValue);
   row += ", \"objective\": " + QuoteName(kObjectiveNames, aPool.mObjective);
   row += ", \"max_concurrency\": " + std::to_string(aPool.mMaxConcurrency);
+  row +=
+    ", \"concurrency\": " + QuoteName(kConcurrencyNames, aPool.mConcurrency);
   row += ",\n      \"queue_limit\": " + std::to_string(aPool.mQueueLimit);
   row += ", \"queue_wait_ms\": " + std::to_string(aPool.mQueueWaitMilliseconds);
   row += ", \"retry_percent\": " + std::to_string(aPool.mRetryPercent);
@@ -391,14 +397,14 @@
 int
 ShedLevelOfRank(std::uint32_t aRank)
 {
-  constexpr std::uint32_t kHighest = kNestedCallLevel - 1;
+  constexpr std::uint32_t kHighest = kShedLevels - 1;
   return static_cast<int>(kHighest - std::min(aRank, kHighest));
 }
 
 std::uint32_t
 PresetRank(work_class aClass)
 {
-  return static_cast<std::uint32_t>(kNestedCallLevel - 1 - ShedOrder(aClass));
+  return static_cast<std::uint32_t>(kShedLevels - 1 - ShedOrder(aClass));
 }
 
 pool
@@ -422,6 +428,11 @@
                  kConcurrencyRange,
                  kOptional,
                  "Calls at once for each upstream; 0 means its slots.");
+  aReader.Choice("concurrency",
+                 row.mConcurrency,
+                 kConcurrencyNames,
+                 kOptional,
+                 "What bounds the calls at once below that number.");
   aReader.Number("queue_limit",
                  row.mQueueLimit,
                  kQueueRange,
@@ -436,7 +447,7 @@
                  row.mRetryPercent,
                  kPercentRange,
                  kOptional,
-                 "Retries for each hundred successes of a daemon.");
+                 "Repeats for each hundred calls of a daemon, within 10 s.");
   aReader.Choice("spill",
                  row.mSpill,
                  kSpillNames,
--- a/Libraries/LibTables/Tables.h
+++ b/Libraries/LibTables/Tables.h
@@ -41,9 +41,7 @@
 int
 ShedOrder(work_class aClass);
 
-/// The highest level is kept for calls of work that is in progress already.
-inline constexpr int kShedLevels = 4;
-inline constexpr int kNestedCallLevel = kShedLevels - 1;
+inline constexpr int kShedLevels = 3;
 
 /// Returns the level of a route's rank: rank 0 is shed last.
 int
@@ -60,6 +58,15 @@
   kRecoveryTime,
 };
 
+/// What bounds the calls that an upstream runs at once.
+enum class concurrency_policy : std::uint8_t
+{
+  /// Adapts to measured latency, within the slots.
+  kAdaptive,
+  /// The announced slots: the upstream runs each call in a slot of its own.
+  kSlots,
+};
+
 /// How far from the caller's zone a pool's work may go.
 enum class spill_scope : std::uint8_t
 {
@@ -75,10 +82,11 @@
   pool_objective mObjective = pool_objective::kGoodput;
   /// Calls at once for each upstream; 0 means its announced slots.
   std::uint32_t mMaxConcurrency = 0;
+  concurrency_policy mConcurrency = concurrency_policy::kAdaptive;
   /// Calls that may wait for admission at each upstream.
   std::uint32_t mQueueLimit = 50;
   std::uint32_t mQueueWaitMilliseconds = 100;
-  /// Retries allowed for each hundred successes of a daemon.
+  /// Repeats allowed for each hundred calls of a daemon, within 10 s.
   std::uint32_t mRetryPercent = 10;
   spill_scope mSpill = spill_scope::kAll;
   std::uint32_t mColdStartMilliseconds = 10000;
--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -21,6 +21,19 @@
 constexpr std::uint32_t kRelaxedPositions = 32;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
 constexpr double kMicrosecondsPerSecond = 1e6;
+/// Weight of one call in the mean service time.
+constexpr double kServiceWeight = 0.02;
+
+/// With a limit that is known, the deadlines of the calls bound their wait.
+constexpr core::duration kLongestFixedWait{ 60'000'000 };
+
+/// Calls of one class wait in order, but those of work in progress come first:
+/// what they belong to holds places at other upstreams meanwhile.
+std::uint32_t
+QueueLevel(std::uint32_t aPosition, std::uint32_t aDepth)
+{
+  return 2 * ShedLevel(aPosition) + (aDepth > 0 ? 1 : 0);
+}
 
 /// Where another upstream can run the call, there is no reason to wait.
 core::duration
@@ -59,7 +72,22 @@
   return { static_cast<std::uint32_t>(mRunning.size() + mQueue.Size()),
            mLimit.Limit(aNow),
            Threshold(aNow),
-           mDraining };
+           mDraining,
+           static_cast<std::uint32_t>(mService) };
+}
+
+bool
+admission_controller::HasFixedLimit() const
+{
+  return mPool.mConcurrency == tables::concurrency_policy::kSlots;
+}
+
+void
+admission_controller::CountService(core::duration aLatency)
+{
+  auto const latency = static_cast<double>(aLatency.count());
+  mService =
+    mService == 0 ? latency : mService + kServiceWeight * (latency - mService);
 }
 
 void
@@ -76,9 +104,10 @@
     Refuse(aEvent.mCall, refusal_reason::kCutOff);
     return;
   }
-  queued_call const call{
-    aEvent.mCall, ShedLevel(position), aNow, aEvent.mContext.mDeadline
-  };
+  queued_call const call{ aEvent.mCall,
+                          QueueLevel(position, aEvent.mContext.mDepth),
+                          aNow,
+                          aEvent.mContext.mDeadline };
   if (mMechanisms.mQueueDeadline && !CanMeetDeadline(aNow, call)) {
     Refuse(aEvent.mCall, refusal_reason::kDeadlineExceeded);
     return;
@@ -102,6 +131,7 @@
   mLimit.Record(
     aNow, aEvent.mLatency, static_cast<std::uint32_t>(mRunning.size()));
   mFeedback.CountCompletion();
+  CountService(aEvent.mLatency);
   mRunning.erase(found);
 }
 
@@ -133,8 +163,13 @@
 admission_controller::On(core::time_point, configuration_changed const& aEvent)
 {
   mPool = aEvent.mPool;
+  mSlots = aEvent.mSlots;
   mLimit.Configure(aEvent.mSlots, aEvent.mPool);
-  mFeedback.Configure(aEvent.mPool.mObjective, LongestWait() / kTargetWaitPart);
+  core::duration const queueWait =
+    std::chrono::milliseconds(mPool.mQueueWaitMilliseconds);
+  mFeedback.Configure(aEvent.mPool.mObjective,
+                      (HasFixedLimit() ? queueWait : LongestWait()) /
+                        kTargetWaitPart);
 }
 
 void
@@ -192,6 +227,11 @@
 std::size_t
 admission_controller::QueueLimit() const
 {
+  if (HasFixedLimit()) {
+    // One call waits for each that runs. What does not fit is better off at
+    // another upstream, and nothing waits longer than a usual run.
+    return std::min(mPool.mQueueLimit, mSlots);
+  }
   if (mPool.mObjective == tables::pool_objective::kRecoveryTime) {
     return mPool.mQueueLimit / kRecoveryQueuePart;
   }
@@ -201,6 +241,9 @@
 core::duration
 admission_controller::LongestWait() const
 {
+  if (HasFixedLimit()) {
+    return kLongestFixedWait;
+  }
   core::duration const wait =
     std::chrono::milliseconds(mPool.mQueueWaitMilliseconds);
   if (mPool.mObjective == tables::pool_objective::kRecoveryTime) {
--- a/Libraries/LibTraffic/AdmissionController.h
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -141,9 +141,13 @@
   void Expire(core::time_point aNow);
   void Admit(core::time_point aNow, call_id aCall);
   void Refuse(call_id aCall, core::refusal_reason aReason);
+  /// Whether overload is answered by the length of the queue alone.
+  bool HasFixedLimit() const;
+  void CountService(core::duration aLatency);
 
   admission_mechanisms mMechanisms;
   tables::pool mPool;
+  std::uint32_t mSlots = 1;
   concurrency_limit mLimit;
   admission_feedback mFeedback;
   admission_queue mQueue;
@@ -151,6 +155,8 @@
   /// Admitted calls of a process of the upstream that has ended since.
   std::unordered_set<call_id> mFormer;
   bool mDraining = false;
+  /// Microseconds; 0 before the first call has ended.
+  double mService = 0;
   actions mActions;
 };
 
--- a/Libraries/LibTraffic/AdmissionDependency.cpp
+++ b/Libraries/LibTraffic/AdmissionDependency.cpp
@@ -9,23 +9,23 @@
 constexpr std::uint32_t kLeastRuns = 20;
 constexpr double kWeight = 0.05;
 constexpr double kNeededShare = 0.9;
-/// Pools with a smaller share are forgotten.
+/// Callees with a smaller share are forgotten.
 constexpr double kForgottenShare = 0.001;
 
 }
 
 void
-downstream_dependency::CountRun(tables::work_class aClass,
-                                std::vector<std::string> const& aPools)
+downstream_dependency::CountRun(std::string const& aRoute,
+                                std::vector<callee> const& aCallees)
 {
-  auto& record = mClasses.at(static_cast<std::size_t>(aClass));
+  auto& record = mRoutes[aRoute];
   ++record.mRuns;
   for (auto& [name, share] : record.mShares) {
     bool const called =
-      std::find(aPools.begin(), aPools.end(), name) != aPools.end();
+      std::find(aCallees.begin(), aCallees.end(), name) != aCallees.end();
     share += kWeight * ((called ? 1.0 : 0.0) - share);
   }
-  for (auto const& name : aPools) {
+  for (auto const& name : aCallees) {
     // The first runs decide quickly; later ones average.
     record.mShares.try_emplace(name,
                                record.mRuns <= kLeastRuns ? 1.0 : kWeight);
@@ -35,15 +35,15 @@
   });
 }
 
-std::vector<std::string>
-downstream_dependency::NeededPools(tables::work_class aClass) const
+std::vector<callee>
+downstream_dependency::Needed(std::string const& aRoute) const
 {
-  auto const& record = mClasses.at(static_cast<std::size_t>(aClass));
-  std::vector<std::string> needed;
-  if (record.mRuns < kLeastRuns) {
+  std::vector<callee> needed;
+  auto const record = mRoutes.find(aRoute);
+  if (record == mRoutes.end() || record->second.mRuns < kLeastRuns) {
     return needed;
   }
-  for (auto const& [name, share] : record.mShares) {
+  for (auto const& [name, share] : record->second.mShares) {
     if (share >= kNeededShare) {
       needed.push_back(name);
     }
@@ -51,4 +51,12 @@
   return needed;
 }
 
+void
+downstream_dependency::Keep(tables::table_set const& aTables)
+{
+  std::erase_if(mRoutes, [&aTables](auto const& aEntry) {
+    return !aTables.mRoutes.contains(aEntry.first);
+  });
+}
+
 }
--- a/Libraries/LibTraffic/AdmissionDependency.h
+++ b/Libraries/LibTraffic/AdmissionDependency.h
@@ -2,7 +2,7 @@
 
 #include "LibTables/Tables.h"
 
-#include <array>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -10,30 +10,43 @@
 
 namespace cranberryfold::traffic {
 
+/// What a run calls: a pool, by a route.
+struct callee
+{
+  std::string mPool;
+  std::string mRoute;
+
+  // The check takes the zero of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(callee const&) const = default;
+};
+
 /// Learns from the calls that pass through the daemon which pools the local
-/// upstream needs for each class. When a needed pool would refuse the call that
-/// is to follow, running the first part is wasted, and the daemon refuses the
-/// arriving call instead.
+/// upstream needs for the calls of each route. When a needed pool would refuse
+/// the call that is to follow, running the first part is wasted, and the daemon
+/// refuses the arriving call instead.
 class downstream_dependency
 {
 public:
-  /// Takes in one ended run and the pools that it called; a pool that was
-  /// called several times may be named several times.
-  void CountRun(tables::work_class aClass,
-                std::vector<std::string> const& aPools);
+  /// Takes in one ended run of a call on aRoute and what it called; a callee
+  /// that was called several times may stand there several times.
+  void CountRun(std::string const& aRoute, std::vector<callee> const& aCallees);
+
+  /// Returns what nearly all recent runs of aRoute called.
+  std::vector<callee> Needed(std::string const& aRoute) const;
 
-  /// Returns the pools that nearly all recent runs of aClass called.
-  std::vector<std::string> NeededPools(tables::work_class aClass) const;
+  /// Forgets routes that are not in aTables.
+  void Keep(tables::table_set const& aTables);
 
 private:
-  struct class_record
+  struct route_record
   {
     std::uint32_t mRuns = 0;
-    /// Share of recent runs that called the pool, by pool name.
-    std::map<std::string, double> mShares;
+    /// Share of recent runs that made the call.
+    std::map<callee, double> mShares;
   };
 
-  std::array<class_record, tables::kWorkClassCount> mClasses;
+  std::map<std::string, route_record> mRoutes;
 };
 
 }
--- a/Libraries/LibTraffic/AdmissionLimit.cpp
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -40,6 +40,8 @@
   }
   mSlots = slots;
   mObjective = aPool.mObjective;
+  mFollowsLatency =
+    mAdaptive && aPool.mConcurrency == tables::concurrency_policy::kAdaptive;
   mColdStart = std::chrono::milliseconds(aPool.mColdStartMilliseconds);
 }
 
@@ -107,7 +109,7 @@
     mBaseline = aLatency;
     mFloor = aLatency;
   }
-  if (!mAdaptive) {
+  if (!mFollowsLatency) {
     return;
   }
   if (mTrial) {
--- a/Libraries/LibTraffic/AdmissionLimit.h
+++ b/Libraries/LibTraffic/AdmissionLimit.h
@@ -61,6 +61,7 @@
   void Grow(double aLatency);
 
   bool mAdaptive;
+  bool mFollowsLatency = true;
   tables::pool_objective mObjective = tables::pool_objective::kGoodput;
   double mSlots = 1;
   double mLimit = 1;
--- a/Libraries/LibTraffic/CallContext.h
+++ b/Libraries/LibTraffic/CallContext.h
@@ -42,6 +42,14 @@
   std::optional<std::uint32_t> mLevel;
   /// Service beside which the request came in.
   core::service_id mOrigin;
+  /// Whether the call repeats work: an earlier attempt of it, or of one that it
+  /// belongs to, has reached an upstream.
+  bool mIsRepeat = false;
+  /// Name of the route that the call takes.
+  std::string mRoute;
+  /// The call whose run made this one; empty for a customer request. Known only
+  /// to the daemon beside the upstream that made the call.
+  core::request_id mParent;
 
   bool operator==(call_context const&) const = default;
 };
--- a/Libraries/LibTraffic/LoadStamp.h
+++ b/Libraries/LibTraffic/LoadStamp.h
@@ -16,6 +16,12 @@
   /// Calls with a smaller ShedPosition() are refused; 0 refuses none.
   std::uint32_t mAdmissionThreshold = 0;
   bool mDraining = false;
+  /// Mean time from admission to the end of the response, recently; 0 when
+  /// unknown.
+  std::uint32_t mServiceMicroseconds = 0;
+  /// Positions below it would be refused by an upstream that calls of this
+  /// route need further down.
+  std::uint32_t mDownstreamThreshold = 0;
 
   auto operator<=>(load_stamp const&) const = default;
 };
--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -8,10 +8,13 @@
 
 namespace {
 
-constexpr std::uint32_t kHundredthsPerToken = 100;
-/// Tokens of a daemon without successes yet, and the most that it saves up.
-constexpr std::uint32_t kStartTokens = 5;
-constexpr std::uint32_t kMostTokens = 20;
+constexpr double kPercent = 100;
+/// Repeats that a daemon may make beyond its share, so that one with few calls
+/// can repeat at all.
+constexpr double kFreeRepeats = 1;
+/// Part of the share that the lowest level may use; each higher one may use a
+/// further part.
+constexpr double kLowestLevelShare = 0.5;
 constexpr core::duration kFirstBackoff{ 10'000 };
 constexpr core::duration kLongestBackoff{ 500'000 };
 constexpr std::uint32_t kMostDoublings = 6;
@@ -104,7 +107,6 @@
 
 retry_ratio::retry_ratio(std::uint32_t aPercent)
   : mPercent(aPercent)
-  , mHundredths(aPercent == 0 ? 0 : kStartTokens * kHundredthsPerToken)
 {
 }
 
@@ -112,23 +114,55 @@
 retry_ratio::SetPercent(std::uint32_t aPercent)
 {
   mPercent = aPercent;
-  mHundredths = aPercent == 0 ? 0 : mHundredths;
+}
+
+retry_ratio::bucket&
+retry_ratio::At(core::time_point aNow)
+{
+  auto const length = kWindow.count() / static_cast<std::int64_t>(kBuckets);
+  auto const number = aNow.time_since_epoch().count() / length;
+  auto& found = mBuckets.at(
+    static_cast<std::size_t>(number % static_cast<std::int64_t>(kBuckets)));
+  if (found.mNumber != number) {
+    found = { number, 0, 0 };
+  }
+  return found;
 }
 
 void
-retry_ratio::CountSuccess()
+retry_ratio::CountCall(core::time_point aNow)
 {
-  mHundredths =
-    std::min(mHundredths + mPercent, kMostTokens * kHundredthsPerToken);
+  ++At(aNow).mCalls;
+}
+
+void
+retry_ratio::CountRepeat(core::time_point aNow)
+{
+  ++At(aNow).mRepeats;
 }
 
 bool
-retry_ratio::Take()
+retry_ratio::Take(core::time_point aNow, std::uint32_t aLevel)
 {
-  if (mHundredths < kHundredthsPerToken) {
+  if (mPercent == 0) {
+    return false;
+  }
+  auto const present = At(aNow).mNumber;
+  double calls = 0;
+  double repeats = 0;
+  for (auto const& entry : mBuckets) {
+    if (entry.mNumber > present - static_cast<std::int64_t>(kBuckets)) {
+      calls += entry.mCalls;
+      repeats += entry.mRepeats;
+    }
+  }
+  auto const levels = static_cast<double>(tables::kShedLevels) - 1;
+  auto const part =
+    kLowestLevelShare + (1 - kLowestLevelShare) * aLevel / levels;
+  if (repeats + 1 > calls * mPercent / kPercent * part + kFreeRepeats) {
     return false;
   }
-  mHundredths -= kHundredthsPerToken;
+  ++At(aNow).mRepeats;
   return true;
 }
 
@@ -159,7 +193,7 @@
   if (backoff + aFacts.mUsualLatency >= aFacts.mTimeLeft) {
     return retry_decision{ retry_reason::kRefusedDeadline, std::nullopt };
   }
-  if (!aRatio.Take()) {
+  if (!aRatio.Take(aFacts.mNow, aFacts.mLevel)) {
     return retry_decision{ retry_reason::kRefusedRatio, std::nullopt };
   }
   return retry_decision{ AllowedReason(aFacts), backoff };
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -6,6 +6,8 @@
 #include "LibCore/Time.h"
 #include "LibTraffic/CallContext.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -57,22 +59,44 @@
   std::set<std::pair<core::time_point, core::request_id>> mExpiries;
 };
 
-/// Tokens of one daemon for one pool: successes earn parts of a token and each
-/// retry costs one, which bounds retries in the aggregate.
+/// Repeats of one daemon at one pool, bounded as a share of its calls within a
+/// sliding window. All daemons together then stay within that share of all
+/// calls, without a message between them.
 class retry_ratio
 {
 public:
   explicit retry_ratio(std::uint32_t aPercent);
 
   void SetPercent(std::uint32_t aPercent);
-  void CountSuccess();
-  /// Takes one token; false when there is none.
-  bool Take();
+
+  /// Counts a call, not its further attempts.
+  void CountCall(core::time_point aNow);
+
+  /// Counts an attempt that repeats work without having been asked for here: a
+  /// call made by a run that was a repeat itself.
+  void CountRepeat(core::time_point aNow);
+
+  /// Takes one repeat for a call of aLevel; false when there is none. Lower
+  /// levels leave a part of the share to higher ones.
+  bool Take(core::time_point aNow, std::uint32_t aLevel);
+
+  /// Length of the window.
+  static constexpr core::duration kWindow{ 10'000'000 };
 
 private:
+  static constexpr std::size_t kBuckets = 20;
+
+  struct bucket
+  {
+    std::int64_t mNumber = -1;
+    std::uint32_t mCalls = 0;
+    std::uint32_t mRepeats = 0;
+  };
+
+  bucket& At(core::time_point aNow);
+
   std::uint32_t mPercent;
-  /// Hundredths of a token.
-  std::uint32_t mHundredths;
+  std::array<bucket, kBuckets> mBuckets{};
 };
 
 /// How one attempt ended, and what is known about a further one.
@@ -90,6 +114,9 @@
   core::duration mTimeLeft{};
   /// Recent latency of the pool; 0 when unknown.
   core::duration mUsualLatency{};
+  core::time_point mNow;
+  /// Shedding level of the call.
+  std::uint32_t mLevel = 0;
 };
 
 struct retry_decision
--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Assert.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cranberryfold::traffic {
 
@@ -15,19 +16,39 @@
 constexpr core::duration kLongestAvoidance{ 10'000'000 };
 constexpr core::duration kRefusalAvoidance{ 50'000 };
 constexpr std::uint32_t kMostDoublings = 6;
-/// Older stamps say nothing about the present; their expiry also lets senders
-/// notice a recovery after they have held back everything.
-constexpr core::duration kStampLifetime{ 2'000'000 };
-/// Stands in for the latency of an upstream without calls, so that an untried
-/// upstream is tried.
-constexpr double kLeastLatency = 100;
+/// Stands in for the service time of a pool without calls.
+constexpr double kLeastService = 100;
+/// Weight of one attempt in the share of errors.
+constexpr double kErrorWeight = 0.1;
+/// Time in which that share fades to a half while nothing is sent.
+constexpr double kErrorHalfLife = 2e6;
+/// Time in which a load that was told fades to a half.
+constexpr double kLoadHalfLife = 2e6;
+/// Power of the penalty for errors: at half of the attempts failing, a call
+/// costs 16 times as much, so that others are chosen unless they are full.
+constexpr double kErrorPower = 4;
+constexpr double kMostErrors = 0.95;
+/// Share of the limit from which the wait is taken into account. Below it,
+/// places that others take before this call arrives are not missed.
+constexpr double kBusyShare = 0.85;
+/// Pause after an upstream said that it does not serve; its announcement tells
+/// when it does.
+constexpr core::duration kNotReadyAvoidance{ 200'000 };
 
 bool
 IsFailure(attempt_report const& aReport)
 {
   return aReport.mOutcome == outcome::kUnknown ||
-         aReport.mReason == refusal_reason::kConnectFailed ||
-         aReport.mReason == refusal_reason::kNotReady;
+         aReport.mReason == refusal_reason::kConnectFailed;
+}
+
+/// Whether the upstream itself failed the call, apart from its load: the daemon
+/// beside it hands over only what fits.
+bool
+IsUpstreamError(attempt_report const& aReport)
+{
+  return aReport.mServerError || aReport.mOutcome == outcome::kUnknown ||
+         aReport.mReason == refusal_reason::kUpstreamRefused;
 }
 
 /// A full queue says that another upstream is the better choice for a moment;
@@ -50,6 +71,12 @@
   if (aReport.mStamp) {
     mStamp = aReport.mStamp;
     mStamped = aNow;
+    mInFlightAtStamp = mInFlight;
+  }
+  bool const wasTried =
+    aReport.mOutcome == outcome::kRan || IsUpstreamError(aReport);
+  if (wasTried) {
+    CountError(aNow, IsUpstreamError(aReport));
   }
   if (IsFailure(aReport)) {
     auto const doublings = std::min(mFailures++, kMostDoublings);
@@ -57,6 +84,10 @@
           std::min(kLongestAvoidance, kFirstAvoidance * (1 << doublings)));
     return;
   }
+  if (aReport.mReason == refusal_reason::kNotReady) {
+    Avoid(aNow, kNotReadyAvoidance);
+    return;
+  }
   if (IsBusyRefusal(aReport)) {
     Avoid(aNow, kRefusalAvoidance);
     return;
@@ -75,22 +106,62 @@
   mAvoidedUntil = std::max(mAvoidedUntil, aNow + aLongest);
 }
 
-bool
-upstream_health::WouldRefuse(core::time_point aNow,
-                             std::uint32_t aPosition) const
+std::uint32_t
+upstream_health::Threshold(core::time_point aNow) const
+{
+  bool const isRecent = mStamp && aNow < mStamped + kStampLifetime;
+  return isRecent ? mStamp->mAdmissionThreshold : 0;
+}
+
+double
+upstream_health::Errors(core::time_point aNow) const
 {
-  return mStamp && aNow < mStamped + kStampLifetime &&
-         aPosition < mStamp->mAdmissionThreshold;
+  auto const age = static_cast<double>((aNow - mErrorsAt).count());
+  return mErrors * std::exp2(-age / kErrorHalfLife);
+}
+
+void
+upstream_health::CountError(core::time_point aNow, bool aIsError)
+{
+  auto const before = Errors(aNow);
+  mErrors = before + kErrorWeight * ((aIsError ? 1.0 : 0.0) - before);
+  mErrorsAt = aNow;
+}
+
+double
+upstream_health::Service() const
+{
+  return mStamp ? mStamp->mServiceMicroseconds : 0;
+}
+
+double
+upstream_health::Load(core::time_point aNow) const
+{
+  if (!mStamp) {
+    return mInFlight;
+  }
+  // An upstream that is too busy to answer sends no stamps, so that the last
+  // one fades slowly.
+  auto const age = static_cast<double>((aNow - mStamped).count());
+  auto const told = mStamp->mInFlight * std::exp2(-age / kLoadHalfLife);
+  auto const sent = static_cast<double>(mInFlight) - mInFlightAtStamp;
+  return std::max<double>(mInFlight, told + sent);
 }
 
 double
-upstream_health::Cost(std::uint32_t aSlots) const
+upstream_health::Cost(core::time_point aNow,
+                      std::uint32_t aSlots,
+                      pool_average const& aAverage) const
 {
-  auto const reported = mStamp ? mStamp->mInFlight : 0;
   auto const limit =
     std::max(mStamp && mStamp->mLimit > 0 ? mStamp->mLimit : aSlots, 1U);
-  double const load = 1.0 + std::max(mInFlight, reported);
-  return load / limit * std::max(mLatency, kLeastLatency);
+  auto const usual = std::max(aAverage.mService, kLeastService);
+  auto const service = Service() > 0 ? Service() : usual;
+  auto const share = (Load(aNow) + 1) / limit;
+  auto const wait = std::max(0.0, share - kBusyShare) * service;
+  auto const errors =
+    std::clamp(Errors(aNow) - aAverage.mErrors, 0.0, kMostErrors);
+  return (service + wait) / std::pow(1 - errors, kErrorPower);
 }
 
 core::duration
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -3,6 +3,8 @@
 #include "LibCore/Assert.h"
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 #include <utility>
 
 namespace cranberryfold::traffic {
@@ -15,6 +17,16 @@
 constexpr int kSameRegion = 1;
 constexpr int kBeyond = 2;
 constexpr core::duration kOverloadRetryAfter{ 1'000'000 };
+/// Round trips in microseconds that a farther upstream adds, from the users'
+/// figures: 1 ms between zones, 20 ms between regions, one way.
+constexpr double kRegionRoundTrip = 2'000;
+constexpr double kBeyondRoundTrip = 40'000;
+/// Bytes between regions are billed; this much time is worth saving them.
+constexpr double kBeyondBill = 10'000;
+/// Random part of the cost, so that senders with the same knowledge do not all
+/// choose the same upstream.
+constexpr double kCostSpread = 0.2;
+constexpr std::uint64_t kSpreadSteps = 1024;
 
 }
 
@@ -57,29 +69,24 @@
                           std::vector<core::instance_id> const& aTried)
 {
   auto const position = ShedPosition(aContext, mMechanisms.mOrder);
-  bool const panic = Panics(aNow);
-  upstreams refusing;
-  upstreams avoided;
-  for (int const distance : { kSameZone, kSameRegion, kBeyond }) {
-    if (!IsWithinSpill(distance)) {
-      break;
-    }
-    auto found = Sort(aNow, position, distance, aTried);
-    if (panic) {
-      found.mAccepting.insert(
-        found.mAccepting.end(), found.mAvoided.begin(), found.mAvoided.end());
-    }
-    if (!found.mAccepting.empty()) {
-      return Choose(found.mAccepting);
-    }
-    refusing.insert(
-      refusing.end(), found.mRefusing.begin(), found.mRefusing.end());
-    avoided.insert(avoided.end(), found.mAvoided.begin(), found.mAvoided.end());
+  bool const isShedBelow =
+    mMechanisms.mSenderThreshold &&
+    position < DownstreamThreshold(aNow, aContext.mRoute);
+  if (isShedBelow) {
+    return Refusal(true);
+  }
+  auto found = SortAll(aNow, aContext, aTried);
+  if (Panics(aNow)) {
+    found.mAccepting.insert(
+      found.mAccepting.end(), found.mAvoided.begin(), found.mAvoided.end());
   }
-  if (refusing.empty() && !avoided.empty()) {
-    return Choose(avoided);
+  if (!found.mAccepting.empty()) {
+    return Choose(aNow, found.mAccepting);
   }
-  return Refusal(!refusing.empty());
+  if (found.mRefusing.empty() && !found.mAvoided.empty()) {
+    return Choose(aNow, found.mAvoided);
+  }
+  return Refusal(!found.mRefusing.empty());
 }
 
 bool
@@ -87,17 +94,32 @@
                                call_context const& aContext) const
 {
   auto const position = ShedPosition(aContext, mMechanisms.mOrder);
-  bool refusing = false;
+  return position < Threshold(aNow, aContext.mRoute);
+}
+
+std::uint32_t
+upstream_selector::Threshold(core::time_point aNow,
+                             std::string const& aRoute) const
+{
+  std::optional<std::uint32_t> lowest;
   for (auto const& [id, entry] : mUpstreams) {
     if (!IsUsable(entry, {}) || !IsWithinSpill(Distance(entry.mCandidate))) {
       continue;
     }
-    if (!entry.mHealth.WouldRefuse(aNow, position)) {
-      return false;
-    }
-    refusing = true;
+    auto const threshold = entry.mHealth.Threshold(aNow);
+    lowest = std::min(lowest.value_or(threshold), threshold);
   }
-  return refusing;
+  return std::max(lowest.value_or(0), DownstreamThreshold(aNow, aRoute));
+}
+
+std::uint32_t
+upstream_selector::DownstreamThreshold(core::time_point aNow,
+                                       std::string const& aRoute) const
+{
+  auto const found = mDownstream.find(aRoute);
+  bool const isRecent =
+    found != mDownstream.end() && aNow < found->second.mTold + kStampLifetime;
+  return isRecent ? found->second.mThreshold : 0;
 }
 
 void
@@ -113,6 +135,10 @@
   auto const found = mUpstreams.find(aReport.mInstance);
   CF_ASSERT(found != mUpstreams.end(), "a report names an unknown upstream");
   found->second.mHealth.CountEnd(aNow, aReport);
+  if (aReport.mStamp) {
+    mDownstream[aReport.mRoute] = { aReport.mStamp->mDownstreamThreshold,
+                                    aNow };
+  }
   if (Distance(found->second.mCandidate) == kBeyond) {
     mInterRegionBytes += aReport.mBytes;
   }
@@ -192,18 +218,19 @@
 }
 
 upstream_selector::choice
-upstream_selector::Sort(core::time_point aNow,
-                        std::uint32_t aPosition,
-                        int aDistance,
-                        std::vector<core::instance_id> const& aTried)
+upstream_selector::SortAll(core::time_point aNow,
+                           call_context const& aContext,
+                           std::vector<core::instance_id> const& aTried)
 {
+  auto const position = ShedPosition(aContext, mMechanisms.mOrder);
   choice sorted;
   for (auto& [id, entry] : mUpstreams) {
-    if (Distance(entry.mCandidate) != aDistance || !IsUsable(entry, aTried)) {
+    if (!IsWithinSpill(Distance(entry.mCandidate)) ||
+        !IsUsable(entry, aTried)) {
       continue;
     }
     if (mMechanisms.mSenderThreshold &&
-        entry.mHealth.WouldRefuse(aNow, aPosition)) {
+        position < entry.mHealth.Threshold(aNow)) {
       sorted.mRefusing.push_back(&entry);
     } else if (mMechanisms.mAvoidance && entry.mHealth.IsAvoided(aNow)) {
       sorted.mAvoided.push_back(&entry);
@@ -214,15 +241,54 @@
   return sorted;
 }
 
+pool_average
+upstream_selector::Average(core::time_point aNow) const
+{
+  double services = 0;
+  double known = 0;
+  double errors = 0;
+  for (auto const& [id, entry] : mUpstreams) {
+    auto const service = entry.mHealth.Service();
+    services += service;
+    known += service > 0 ? 1 : 0;
+    errors += entry.mHealth.Errors(aNow);
+  }
+  auto const count = static_cast<double>(mUpstreams.size());
+  return { known > 0 ? services / known : 0, errors / std::max(count, 1.0) };
+}
+
+double
+upstream_selector::CostOf(core::time_point aNow,
+                          upstream const& aUpstream,
+                          pool_average const& aAverage)
+{
+  auto const step = static_cast<double>(mRandom.Below(kSpreadSteps));
+  auto const spread = 1 + kCostSpread * step / kSpreadSteps;
+  auto const cost = spread * aUpstream.mHealth.Cost(
+                               aNow, aUpstream.mCandidate.mSlots, aAverage);
+  switch (Distance(aUpstream.mCandidate)) {
+    case kSameZone:
+      return cost;
+    case kSameRegion:
+      return cost + kRegionRoundTrip;
+    default:
+      return cost + kBeyondRoundTrip + kBeyondBill;
+  }
+}
+
 chosen_upstream
-upstream_selector::Choose(upstreams const& aFrom)
+upstream_selector::Choose(core::time_point aNow, upstreams const& aFrom)
 {
   auto* picked = aFrom.at(mRandom.Below(aFrom.size()));
-  if (mMechanisms.mTwoChoices) {
-    auto* const other = aFrom.at(mRandom.Below(aFrom.size()));
-    if (other->mHealth.Cost(other->mCandidate.mSlots) <
-        picked->mHealth.Cost(picked->mCandidate.mSlots)) {
-      picked = other;
+  if (mMechanisms.mLeastCost) {
+    auto const average = Average(aNow);
+    auto least = std::numeric_limits<double>::max();
+    for (auto* const entry : aFrom) {
+      auto const cost = CostOf(aNow, *entry, average);
+      if (cost < least) {
+        least = cost;
+        picked = entry;
+      }
     }
   }
   picked->mHealth.CountStart();
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -65,7 +65,7 @@
 struct selection_mechanisms
 {
   bool mSenderThreshold = true;
-  bool mTwoChoices = true;
+  bool mLeastCost = true;
   bool mAvoidance = true;
   shed_rules mOrder;
 
@@ -95,6 +95,11 @@
   /// refuse the call.
   bool WouldRefuse(core::time_point aNow, call_context const& aContext) const;
 
+  /// Returns the threshold that calls of aRoute meet here or further down; 0
+  /// when some upstream takes all of them.
+  std::uint32_t Threshold(core::time_point aNow,
+                          std::string const& aRoute) const;
+
   /// Ends an attempt. Upstreams that have left the pool are ignored.
   void Report(core::time_point aNow, attempt_report const& aReport);
 
@@ -114,9 +119,16 @@
     upstream_health mHealth;
   };
 
+  /// A threshold and when it was told.
+  struct told_threshold
+  {
+    std::uint32_t mThreshold = 0;
+    core::time_point mTold;
+  };
+
   using upstreams = std::vector<upstream*>;
 
-  /// The usable upstreams at one distance.
+  /// The usable upstreams.
   struct choice
   {
     upstreams mAccepting;
@@ -130,11 +142,18 @@
   bool IsUsable(upstream const& aUpstream,
                 std::vector<core::instance_id> const& aTried) const;
   bool Panics(core::time_point aNow) const;
-  choice Sort(core::time_point aNow,
-              std::uint32_t aPosition,
-              int aDistance,
-              std::vector<core::instance_id> const& aTried);
-  chosen_upstream Choose(upstreams const& aFrom);
+  /// Returns the threshold further down, as far as it is recent.
+  std::uint32_t DownstreamThreshold(core::time_point aNow,
+                                    std::string const& aRoute) const;
+  /// Sorts the usable upstreams of all distances within the spill.
+  choice SortAll(core::time_point aNow,
+                 call_context const& aContext,
+                 std::vector<core::instance_id> const& aTried);
+  chosen_upstream Choose(core::time_point aNow, upstreams const& aFrom);
+  pool_average Average(core::time_point aNow) const;
+  double CostOf(core::time_point aNow,
+                upstream const& aUpstream,
+                pool_average const& aAverage);
   local_refusal Refusal(bool aRefusing) const;
 
   location mHere;
@@ -145,6 +164,8 @@
   std::map<core::instance_id, upstream> mUpstreams;
   /// Attempts at upstreams that have left the pool.
   std::map<core::instance_id, std::uint32_t> mLeftInFlight;
+  /// By route, from the last stamp of any upstream.
+  std::map<std::string, told_threshold> mDownstream;
   std::uint64_t mInterRegionBytes = 0;
 };
 
--- a/Tests/LibTraffic/TestAdmission.cpp
+++ b/Tests/LibTraffic/TestAdmission.cpp
@@ -235,17 +235,16 @@
 BOOST_AUTO_TEST_CASE(OnlyPoolsThatRunsNeedAreLearned)
 {
   downstream_dependency dependency;
+  callee const stock{ "stock", "sync" };
   for (int run = 0; run < 100; ++run) {
-    dependency.CountRun(work_class::kOrder, { "stock", "stock" });
-    dependency.CountRun(work_class::kStatus,
-                        run % 2 == 0 ? std::vector<std::string>{ "stock" }
-                                     : std::vector<std::string>{});
+    dependency.CountRun("order", { stock, stock });
+    dependency.CountRun("status",
+                        run % 2 == 0 ? std::vector<callee>{ stock }
+                                     : std::vector<callee>{});
   }
-  BOOST_TEST(dependency.NeededPools(work_class::kOrder) ==
-               std::vector<std::string>{ "stock" },
-             boost::test_tools::per_element());
-  BOOST_TEST(dependency.NeededPools(work_class::kStatus).empty());
-  BOOST_TEST(dependency.NeededPools(work_class::kUpload).empty());
+  BOOST_TEST((dependency.Needed("order") == std::vector<callee>{ stock }));
+  BOOST_TEST(dependency.Needed("status").empty());
+  BOOST_TEST(dependency.Needed("upload").empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -116,20 +116,65 @@
 // Guards against a daemon that adds to an overload by retrying all failures.
 BOOST_AUTO_TEST_CASE(RatioBoundsTheRetriesOfADaemon)
 {
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio(10);
-  while (ratio.Take()) {
-  }
-  for (int success = 0; success < 100; ++success) {
-    ratio.CountSuccess();
+  BOOST_TEST(ratio.Take(kStart, kHighest));
+  BOOST_TEST(!ratio.Take(kStart, kHighest));
+  for (int call = 0; call < 100; ++call) {
+    ratio.CountCall(kStart);
   }
   int taken = 0;
-  while (ratio.Take()) {
+  while (ratio.Take(kStart, kHighest)) {
     ++taken;
   }
   BOOST_TEST(taken == 10);
   retry_ratio none(0);
-  none.CountSuccess();
-  BOOST_TEST(!none.Take());
+  none.CountCall(kStart);
+  BOOST_TEST(!none.Take(kStart, kHighest));
+}
+
+// Guards against repeats that are saved up in quiet times and used in a burst.
+BOOST_AUTO_TEST_CASE(CallsBeforeTheWindowCountNoMore)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio(10);
+  for (int call = 0; call < 1000; ++call) {
+    ratio.CountCall(kStart);
+  }
+  auto const later = kStart + 2 * retry_ratio::kWindow;
+  BOOST_TEST(ratio.Take(later, kHighest));
+  BOOST_TEST(!ratio.Take(later, kHighest));
+}
+
+// Guards against catalogue reads that use up the repeats of orders.
+BOOST_AUTO_TEST_CASE(LowerLevelsLeaveAPartOfTheRepeats)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio(10);
+  for (int call = 0; call < 100; ++call) {
+    ratio.CountCall(kStart);
+  }
+  int taken = 0;
+  while (ratio.Take(kStart, 0)) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 6);
+  BOOST_TEST(ratio.Take(kStart, kHighest));
+}
+
+// Guards against repeats of whole call trees that are counted at their top
+// only.
+BOOST_AUTO_TEST_CASE(RepeatsOfOthersUseUpTheShare)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio(10);
+  for (int call = 0; call < 100; ++call) {
+    ratio.CountCall(kStart);
+  }
+  for (int repeat = 0; repeat < 11; ++repeat) {
+    ratio.CountRepeat(kStart);
+  }
+  BOOST_TEST(!ratio.Take(kStart, kHighest));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/RandomRun/OverloadMesh.h
+++ b/Utilities/RandomRun/OverloadMesh.h
@@ -121,7 +121,7 @@
     bool mRunning = false;
     core::time_point mAdmitted;
     std::uint32_t mDeepCallsLeft = 0;
-    std::vector<std::string> mCalledPools;
+    std::vector<traffic::callee> mCallees;
     /// The deep call that the run waits for; 0 for none.
     std::uint64_t mDeepCall = 0;
   };
--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -70,7 +70,7 @@
     { "sender_threshold",
       [](policy& aPolicy) { aPolicy.mSelection.mSenderThreshold = false; } },
     { "two_choices",
-      [](policy& aPolicy) { aPolicy.mSelection.mTwoChoices = false; } },
+      [](policy& aPolicy) { aPolicy.mSelection.mLeastCost = false; } },
     { "avoidance",
       [](policy& aPolicy) { aPolicy.mSelection.mAvoidance = false; } },
     { "retry_permits", [](policy& aPolicy) { aPolicy.mRetryPermits = false; } },
--- a/Utilities/RandomRun/OverloadSender.cpp
+++ b/Utilities/RandomRun/OverloadSender.cpp
@@ -39,6 +39,9 @@
   auto& from = *mNodes.at(call.mCall.mFrom);
   auto const selected = from.mSelectors.at(call.mCall.mService)
                           ->Select(aNow, call.mCall.mContext, call.mTried);
+  if (call.mAttempts == 0) {
+    from.mRatios.at(call.mCall.mService).CountCall(aNow);
+  }
   ++call.mAttempts;
   if (auto const* const refusal =
         std::get_if<traffic::local_refusal>(&selected)) {
@@ -101,7 +104,6 @@
 {
   auto const& call = mCalls.at(aCallId);
   if (aEnd.mSuccess) {
-    mNodes.at(call.mCall.mFrom)->mRatios.at(call.mCall.mService).CountSuccess();
     EndCall(aNow, aCallId, true);
     return;
   }
@@ -134,7 +136,9 @@
       false,
       call.mAttempts,
       call.mCall.mContext.mDeadline - aNow,
-      from.mSelectors.at(call.mCall.mService)->UsualLatency() },
+      from.mSelectors.at(call.mCall.mService)->UsualLatency(),
+      aNow,
+      traffic::ShedLevel(traffic::ShedPosition(call.mCall.mContext)) },
     mPolicy.mRetryRatio ? ratio : unlimited,
     mRandom);
   if (decision && decision->mBackoff) {
--- a/Utilities/RandomRun/OverloadServer.cpp
+++ b/Utilities/RandomRun/OverloadServer.cpp
@@ -53,11 +53,12 @@
 {
   auto const& target = *mNodes.at(aEntry.mNode);
   auto context = aEntry.mCall.mContext;
-  auto const needed = target.mDependency.NeededPools(context.mClass);
+  auto const needed = target.mDependency.Needed(
+    std::string(tables::WorkClassName(context.mClass)));
   ++context.mDepth;
   return mPolicy.mEarlyRefusal &&
-         std::any_of(needed.begin(), needed.end(), [&](auto const& aPool) {
-           return target.mSelectors.at(mServiceOf.at(aPool))
+         std::any_of(needed.begin(), needed.end(), [&](auto const& aCallee) {
+           return target.mSelectors.at(mServiceOf.at(aCallee.mPool))
              ->WouldRefuse(aNow, context);
          });
 }
@@ -132,7 +133,7 @@
     return;
   }
   --entry.mDeepCallsLeft;
-  entry.mCalledPools.push_back(PoolOf(mShape.DeepService()).mName);
+  entry.mCallees.push_back({ PoolOf(mShape.DeepService()).mName, {} });
   auto call = entry.mCall;
   call.mFrom = entry.mNode;
   call.mService = mShape.DeepService();
@@ -163,8 +164,9 @@
   auto const& entry = mAttempts.at(aAttempt);
   auto const index = entry.mNode;
   auto const latency = aNow - entry.mAdmitted;
-  mNodes.at(index)->mDependency.CountRun(entry.mCall.mContext.mClass,
-                                         entry.mCalledPools);
+  mNodes.at(index)->mDependency.CountRun(
+    std::string(tables::WorkClassName(entry.mCall.mContext.mClass)),
+    entry.mCallees);
   mNodes.at(index)->mUpstream.Leave(aNow, aAttempt);
   if (mPolicy.mAdmission) {
     HandleAdmission(
