--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -21,16 +21,16 @@
 /// Weight of one attempt in the share of errors.
 constexpr double kErrorWeight = 0.1;
 /// Time in which that share fades to a half while nothing is sent.
-constexpr double kErrorHalfLife = 2e6;
+constexpr double kErrorHalfLife = 1e6;
 /// Time in which a load that was told fades to a half.
-constexpr double kLoadHalfLife = 2e6;
+constexpr double kLoadHalfLife = 0.5e6;
 /// Power of the penalty for errors: at half of the attempts failing, a call
 /// costs 16 times as much, so that others are chosen unless they are full.
 constexpr double kErrorPower = 4;
 constexpr double kMostErrors = 0.95;
 /// Share of the limit from which the wait is taken into account. Below it,
 /// places that others take before this call arrives are not missed.
-constexpr double kBusyShare = 0.85;
+constexpr double kBusyShare = 0.7;
 /// Pause after an upstream said that it does not serve; its announcement tells
 /// when it does.
 constexpr core::duration kNotReadyAvoidance{ 200'000 };
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -22,7 +22,7 @@
 constexpr double kRegionRoundTrip = 2'000;
 constexpr double kBeyondRoundTrip = 40'000;
 /// Bytes between regions are billed; this much time is worth saving them.
-constexpr double kBeyondBill = 10'000;
+constexpr double kBeyondBill = 60'000;
 /// Random part of the cost, so that senders with the same knowledge do not all
 /// choose the same upstream.
 constexpr double kCostSpread = 0.2;
