--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -440,7 +440,8 @@
 }
 
 void
-control_plane::ProposeSystemEdit(std::string aName, tables::change aChange)
+control_plane::ProposeSystemEdit(std::string const& aName,
+                                 tables::change aChange)
 {
   if (mIsSystemEditPending) {
     return;
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -80,7 +80,7 @@
   /// On the leader: keeps the control group at full strength.
   void MaintainGroup();
   /// Proposes an edit of the system itself; one at a time.
-  void ProposeSystemEdit(std::string aName, tables::change aChange);
+  void ProposeSystemEdit(std::string const& aName, tables::change aChange);
   /// On the leader: proposes a claim map that fits the members.
   void MaintainClaimMap();
   std::vector<traffic::claim_member> ClaimMembers() const;
--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -22,6 +22,10 @@
 constexpr double kErrorWeight = 0.1;
 /// Time in which that share fades to a half while nothing is sent.
 constexpr double kErrorHalfLife = 1e6;
+/// Service time of an upstream without calls, as a share of the pool's mean.
+constexpr double kUntriedShare = 0.5;
+/// Time in which a measured service time loses half of its weight.
+constexpr double kServiceHalfLife = 5e6;
 /// Time in which a load that was told fades to a half.
 constexpr double kLoadHalfLife = 0.5e6;
 /// Power of the penalty for errors: at half of the attempts failing, a call
@@ -148,6 +152,23 @@
   return std::max<double>(mInFlight, told + sent);
 }
 
+/// An upstream without recent calls counts as a fast one, so that it is tried:
+/// a new one would otherwise lose against every faster neighbour for good, and
+/// one that was slow would never be found to have recovered.
+double
+upstream_health::ExpectedService(core::time_point aNow,
+                                 pool_average const& aAverage) const
+{
+  auto const untried =
+    kUntriedShare * std::max(aAverage.mService, kLeastService);
+  if (Service() <= 0) {
+    return untried;
+  }
+  auto const age = static_cast<double>((aNow - mStamped).count());
+  auto const weight = std::exp2(-age / kServiceHalfLife);
+  return weight * Service() + (1 - weight) * untried;
+}
+
 double
 upstream_health::Cost(core::time_point aNow,
                       std::uint32_t aSlots,
@@ -155,8 +176,7 @@
 {
   auto const limit =
     std::max(mStamp && mStamp->mLimit > 0 ? mStamp->mLimit : aSlots, 1U);
-  auto const usual = std::max(aAverage.mService, kLeastService);
-  auto const service = Service() > 0 ? Service() : usual;
+  auto const service = ExpectedService(aNow, aAverage);
   auto const share = (Load(aNow) + 1) / limit;
   auto const wait = std::max(0.0, share - kBusyShare) * service;
   auto const errors =
--- a/Libraries/LibTraffic/UpstreamHealth.h
+++ b/Libraries/LibTraffic/UpstreamHealth.h
@@ -76,6 +76,9 @@
 private:
   void Avoid(core::time_point aNow, core::duration aLongest);
   void CountError(core::time_point aNow, bool aIsError);
+  /// Returns the time that a call takes without waiting, in microseconds.
+  double ExpectedService(core::time_point aNow,
+                         pool_average const& aAverage) const;
   /// Returns the calls that are probably at the upstream now.
   double Load(core::time_point aNow) const;
 
--- a/Tests/LibTraffic/TestAdmission.cpp
+++ b/Tests/LibTraffic/TestAdmission.cpp
@@ -204,6 +204,58 @@
   BOOST_TEST(run.mController.Stamp(run.mNow).mAdmissionThreshold == 0U);
 }
 
+// Guards against waiting calls that end although they could still be served,
+// and against a queue that hides idle upstreams from the senders.
+BOOST_AUTO_TEST_CASE(FixedLimitKeepsAQueueOfOneRun)
+{
+  fixture run;
+  tables::pool pool;
+  pool.mConcurrency = tables::concurrency_policy::kSlots;
+  pool.mQueueLimit = 100;
+  run.mController.Handle(kStart, configuration_changed{ 2, pool });
+  for (int call = 0; call < 4; ++call) {
+    run.Arrive(work_class::kCatalogue);
+  }
+  BOOST_TEST(run.mRefused.empty());
+  auto const fifth = run.Arrive(work_class::kCatalogue);
+  BOOST_TEST((run.Refusal(fifth) == refusal_reason::kQueueFull));
+  // A fixed wait would end calls that can still meet their deadline.
+  run.mNow += std::chrono::seconds(1);
+  run.Apply(run.mController.Handle(run.mNow, admission_tick{}));
+  BOOST_TEST(run.mController.Waiting() == 2U);
+}
+
+// Guards against work in progress that waits behind new work, while it holds
+// places at other upstreams.
+BOOST_AUTO_TEST_CASE(CallsOfWorkInProgressComeFirst)
+{
+  fixture run(1);
+  run.Arrive(work_class::kCatalogue);
+  auto const fresh = run.Arrive(work_class::kCatalogue);
+  call_context nested;
+  nested.mClass = work_class::kCatalogue;
+  nested.mDepth = 1;
+  nested.mDeadline = run.mNow + std::chrono::seconds(2);
+  call_id const second{ 1000 };
+  run.Apply(run.mController.Handle(run.mNow, call_arrived{ second, nested }));
+  run.FinishOldest();
+  BOOST_TEST(run.WasAdmitted(second));
+  BOOST_TEST(!run.WasAdmitted(fresh));
+}
+
+// Guards against calls of a crashed process that block its successor or end
+// twice.
+BOOST_AUTO_TEST_CASE(CallsOfAFormerProcessNoLongerCount)
+{
+  fixture run(1);
+  auto const old = run.Arrive(work_class::kOrder);
+  run.Apply(run.mController.Handle(run.mNow, upstream_restarted{}));
+  auto const next = run.Arrive(work_class::kOrder);
+  BOOST_TEST(run.WasAdmitted(next));
+  run.Apply(run.mController.Handle(run.mNow, call_finished{ old, false, {} }));
+  BOOST_TEST(run.mController.Running() == 1U);
+}
+
 // Guards against a full load on an upstream with cold caches.
 BOOST_AUTO_TEST_CASE(RestartedUpstreamIsRampedUp)
 {
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -188,6 +188,100 @@
   BOOST_TEST(chosen > 60);
 }
 
+// Guards against calls that queue at the nearest upstream while others are
+// idle: a long queue outweighs the way to the next region.
+BOOST_AUTO_TEST_CASE(LongQueuesSpillOver)
+{
+  fixture run;
+  constexpr std::uint32_t kService = 50'000;
+  run.Try("middle", outcome::kRan, {}, load_stamp{ 0, 10, 0, false, kService });
+  run.Try("far", outcome::kRan, {}, load_stamp{ 0, 10, 0, false, kService });
+  run.Try("near", outcome::kRan, {}, load_stamp{ 20, 10, 0, false, kService });
+  BOOST_TEST(run.Select() == "middle");
+  run.Report(
+    "middle", outcome::kRan, {}, load_stamp{ 20, 10, 0, false, kService });
+  run.Try("near", outcome::kRan, {}, load_stamp{ 60, 10, 0, false, kService });
+  run.Try(
+    "middle", outcome::kRan, {}, load_stamp{ 60, 10, 0, false, kService });
+  BOOST_TEST(run.Select() == "far");
+}
+
+// Guards against a joined upstream that gets nothing, since its neighbour is
+// faster than the mean.
+BOOST_AUTO_TEST_CASE(NewUpstreamIsTried)
+{
+  fixture run;
+  run.mCandidates = { fixture::Candidate("fast", "z0", "r0"),
+                      fixture::Candidate("slow", "z1", "r0") };
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  run.Try("fast", outcome::kRan, {}, load_stamp{ 0, 10, 0, false, 50'000 });
+  run.Try("slow", outcome::kRan, {}, load_stamp{ 0, 10, 0, false, 90'000 });
+  run.mCandidates.push_back(fixture::Candidate("new", "z0", "r0"));
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  BOOST_TEST(run.Select() == "new");
+}
+
+// Guards against senders that flock to an upstream which is too busy to answer
+// and whose last load seems old.
+BOOST_AUTO_TEST_CASE(ToldLoadFadesSlowly)
+{
+  fixture run;
+  constexpr std::uint32_t kService = 5'000;
+  run.Try("middle", outcome::kRan, {}, load_stamp{ 0, 10, 0, false, kService });
+  run.Try("near", outcome::kRan, {}, load_stamp{ 60, 10, 0, false, kService });
+  run.mNow += std::chrono::milliseconds(300);
+  BOOST_TEST(run.Select() == "middle");
+  run.Report("middle", outcome::kRan);
+  run.mNow += std::chrono::seconds(5);
+  BOOST_TEST(run.Select() == "near");
+}
+
+// Guards against an upstream that fails requests while its health is good.
+BOOST_AUTO_TEST_CASE(UpstreamThatErrsGetsLittle)
+{
+  fixture run;
+  run.mCandidates = { fixture::Candidate("a", "z0", "r0"),
+                      fixture::Candidate("b", "z0", "r0") };
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  int errors = 0;
+  for (int count = 0; count < 200; ++count) {
+    auto const name = run.Select();
+    attempt_report report;
+    report.mInstance = { name };
+    report.mOutcome = outcome::kRan;
+    report.mServerError = name == "a";
+    errors += report.mServerError ? 1 : 0;
+    run.mSelector.Report(run.mNow, report);
+  }
+  BOOST_TEST(errors < 20);
+  // It gets another chance after a while.
+  run.mNow += std::chrono::seconds(30);
+  int tried = 0;
+  for (int count = 0; count < 20; ++count) {
+    auto const name = run.Select();
+    tried += name == "a" ? 1 : 0;
+    run.Report(name, outcome::kRan);
+  }
+  BOOST_TEST(tried > 0);
+}
+
+// Guards against work that is begun although a service further down would
+// refuse its calls, and against refusing routes that do not lead there.
+BOOST_AUTO_TEST_CASE(ThresholdsFurtherDownHoldForTheirRoute)
+{
+  fixture run;
+  attempt_report report;
+  report.mInstance = { run.Select() };
+  report.mOutcome = outcome::kRan;
+  report.mRoute = "read";
+  report.mStamp = load_stamp{ 0, 10, 0, false, 0, kShedPositions };
+  run.mSelector.Report(run.mNow, report);
+  run.mContext.mRoute = "read";
+  BOOST_TEST(run.Select() == "sender_cut_off");
+  run.mContext.mRoute = "upload";
+  BOOST_TEST(run.Select() == "near");
+}
+
 // Guards against a report that is lost when its upstream leaves the pool.
 BOOST_AUTO_TEST_CASE(ReportsOfFormerMembersAreTaken)
 {
