--- a/Utilities/RandomRun/OverloadPolicy.cpp
+++ b/Utilities/RandomRun/OverloadPolicy.cpp
@@ -69,7 +69,7 @@
       } },
     { "sender_threshold",
       [](policy& aPolicy) { aPolicy.mSelection.mSenderThreshold = false; } },
-    { "two_choices",
+    { "least_cost",
       [](policy& aPolicy) { aPolicy.mSelection.mLeastCost = false; } },
     { "avoidance",
       [](policy& aPolicy) { aPolicy.mSelection.mAvoidance = false; } },
