--- a/Utilities/RandomRun/OverloadSender.cpp
+++ b/Utilities/RandomRun/OverloadSender.cpp
@@ -102,7 +102,6 @@
                           std::uint64_t aCallId,
                           attempt_end const& aEnd)
 {
-  auto const& call = mCalls.at(aCallId);
   if (aEnd.mSuccess) {
     EndCall(aNow, aCallId, true);
     return;
