LibDaemon, LibTables: Remove what the platform work left double or unused

Cause, found while reading the change once more: PresetRank() and the mark of a reused upstream connection had no reader; the two ways to submit to a replica repeated each other, and so did the two answers on readiness. One Submit() and one NotInMeshReason() serve both now.

--- a/Libraries/LibDaemon/AdminApi.cpp
+++ b/Libraries/LibDaemon/AdminApi.cpp
@@ -147,18 +147,20 @@
 }
 
 std::string
-admin_api::NotReadyReason() const
+admin_api::NotInMeshReason() const
 {
   if (!mControl.HasJoined()) {
     return "not joined: no seed has answered";
   }
-  if (mPolicy.IsDraining()) {
-    return "draining";
-  }
-  if (!mPolicy.View()->HasRoutes()) {
-    return "no tables yet";
-  }
-  return {};
+  return mPolicy.IsDraining() ? "draining" : "";
+}
+
+std::string
+admin_api::NotReadyReason() const
+{
+  auto const reason = NotInMeshReason();
+  bool const lacksTables = reason.empty() && !mPolicy.View()->HasRoutes();
+  return lacksTables ? "no tables yet" : reason;
 }
 
 task<void>
@@ -233,11 +235,9 @@
 http::response
 admin_api::Ready() const
 {
-  if (!mControl.HasJoined()) {
-    return TextResponse(kUnavailable, "not joined: no seed has answered\n");
-  }
-  if (mPolicy.IsDraining()) {
-    return TextResponse(kUnavailable, "draining\n");
+  auto const reason = NotInMeshReason();
+  if (!reason.empty()) {
+    return TextResponse(kUnavailable, reason + "\n");
   }
   if (!mPolicy.IsUpstreamReady()) {
     return TextResponse(kUnavailable, "the upstream is not ready\n");
--- a/Libraries/LibDaemon/AdminApi.h
+++ b/Libraries/LibDaemon/AdminApi.h
@@ -39,6 +39,8 @@
 private:
   task<void> Handle(http::server_exchange& aExchange);
   task<http::response> Respond(http::request aRequest);
+  /// Returns why the daemon takes no part in the mesh, or an empty text.
+  std::string NotInMeshReason() const;
   http::response Ready() const;
   task<http::response> Tables(std::string_view aTarget);
   task<http::response> ConfirmedTables();
--- a/Libraries/LibDaemon/ReplicaHost.cpp
+++ b/Libraries/LibDaemon/ReplicaHost.cpp
@@ -101,9 +101,7 @@
 void
 replica_host::SubmitEdit(tables::edit aEdit, edit_callback aCallback)
 {
-  control::submission_id const id{ ++mLastRequest };
-  mEdits.emplace(id, std::move(aCallback));
-  Handle(control::edit_submitted{ id, std::move(aEdit), std::nullopt });
+  Submit(std::move(aEdit), std::nullopt, std::move(aCallback));
 }
 
 void
@@ -111,12 +109,20 @@
                                 tables::table_replacement aReplacement,
                                 edit_callback aCallback)
 {
-  control::submission_id const id{ ++mLastRequest };
-  mEdits.emplace(id, std::move(aCallback));
   tables::edit edit;
   edit.mId = std::move(aId);
+  Submit(std::move(edit), std::move(aReplacement), std::move(aCallback));
+}
+
+void
+replica_host::Submit(tables::edit aEdit,
+                     std::optional<tables::table_replacement> aReplacement,
+                     edit_callback aCallback)
+{
+  control::submission_id const id{ ++mLastRequest };
+  mEdits.emplace(id, std::move(aCallback));
   Handle(
-    control::edit_submitted{ id, std::move(edit), std::move(aReplacement) });
+    control::edit_submitted{ id, std::move(aEdit), std::move(aReplacement) });
 }
 
 void
--- a/Libraries/LibDaemon/ReplicaHost.h
+++ b/Libraries/LibDaemon/ReplicaHost.h
@@ -60,6 +60,9 @@
 
 private:
   core::result<control::recovered_state> Recover(bool aBootstrap);
+  void Submit(tables::edit aEdit,
+              std::optional<tables::table_replacement> aReplacement,
+              edit_callback aCallback);
   void Handle(control::event const& aEvent);
   void Perform(control::send_message const& aAction);
   void Perform(control::append_journal const& aAction);
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -41,7 +41,7 @@
     co_return nullptr;
   }
   auto connection = std::make_shared<upstream_connection>(
-    upstream_connection{ boost::beast::tcp_stream(aExecutor), {}, false });
+    upstream_connection{ boost::beast::tcp_stream(aExecutor), {} });
   connection->mStream.expires_after(kConnectTimeout);
   auto const [code] =
     co_await connection->mStream.async_connect(*endpoint, kAsTuple);
@@ -80,7 +80,6 @@
       break;
     }
     if (IsStillIdle(idle.mConnection->mStream.socket())) {
-      idle.mConnection->mIsReused = true;
       co_return idle.mConnection;
     }
   }
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -17,8 +17,6 @@
 {
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
-  /// Whether a request was sent on it before the present one.
-  bool mIsReused = false;
 };
 
 /// Idle connections of one thread to the local upstream, kept since a new one
--- a/Libraries/LibTables/TableRules.cpp
+++ b/Libraries/LibTables/TableRules.cpp
@@ -239,12 +239,6 @@
   return static_cast<int>(kHighest - std::min(aRank, kHighest));
 }
 
-std::uint32_t
-PresetRank(work_class aClass)
-{
-  return static_cast<std::uint32_t>(kShedLevels - 1 - ShedOrder(aClass));
-}
-
 core::result<void>
 CheckTables(table_set const& aTables)
 {
--- a/Libraries/LibTables/Tables.h
+++ b/Libraries/LibTables/Tables.h
@@ -47,10 +47,6 @@
 int
 ShedLevelOfRank(std::uint32_t aRank);
 
-/// Returns the rank that a class stands for.
-std::uint32_t
-PresetRank(work_class aClass);
-
 /// What a pool's owner weighs more when the pool is overloaded.
 enum class pool_objective : std::uint8_t
 {
