LibCore: Write logs to standard output without waiting for its reader

The users ask for logs on standard output that never block. Lines went to standard error, and a reader that had stopped would have blocked the daemon with the pipe full. Each line now polls for room and is dropped without it; the next written line tells how many were lost. A reader that has ended no longer ends the process by SIGPIPE. Ruled out: Boost.Log's asynchronous sink, since its thread would still hang in the write at the end of the process, and wakes up for each line.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,15 +1,21 @@
 #include "LibCore/Log.h"
 
 #include <chrono>
+#include <climits>
+#include <csignal>
 #include <mutex>
 #include <unordered_map>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+
+#include <poll.h>
+#include <unistd.h>
 
 namespace cranberryfold::core {
 
@@ -74,6 +80,43 @@
   return limiter;
 }
 
+/// Writes lines to standard output without ever waiting for its reader. One
+/// thread at a time: the frontend has a lock.
+class standard_output_backend
+  : public boost::log::sinks::basic_formatted_sink_backend<
+      char,
+      boost::log::sinks::synchronized_feeding>
+{
+public:
+  void consume(boost::log::record_view const&, string_type const& aLine)
+  {
+    if (!HasRoom()) {
+      ++mLost;
+      return;
+    }
+    auto text = aLine.substr(0, kMaximumLineBytes);
+    if (mLost > 0) {
+      text += " lost_lines=" + std::to_string(mLost);
+    }
+    text += '\n';
+    bool const isWritten = ::write(STDOUT_FILENO, text.data(), text.size()) ==
+                           static_cast<ssize_t>(text.size());
+    mLost = isWritten ? 0 : mLost + 1;
+  }
+
+private:
+  /// A pipe that polls as writable takes at least PIPE_BUF bytes at once.
+  static constexpr std::size_t kMaximumLineBytes = PIPE_BUF - 64;
+
+  static bool HasRoom()
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+  }
+
+  std::int64_t mLost = 0;
+};
+
 bool
 NeedsQuotes(std::string_view aValue)
 {
@@ -105,18 +148,21 @@
 InitializeLog(log_level aLevel)
 {
   namespace expressions = boost::log::expressions;
+  // A reader that has ended must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   boost::log::add_common_attributes();
-  auto const sink =
-    boost::log::add_console_log(
-      std::clog,
-      boost::log::keywords::format =
-        expressions::stream
-        << "time="
-        << expressions::format_date_time<boost::posix_time::ptime>(
-             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-        << " level=" << boost::log::trivial::severity << " "
-        << expressions::smessage);
-  sink->locked_backend()->auto_flush(true);
+  using sink_frontend =
+    boost::log::sinks::synchronous_sink<standard_output_backend>;
+  auto const sink = boost::make_shared<sink_frontend>();
+  sink
+    ->set_formatter(expressions::stream
+                    << "time="
+                    << expressions::format_date_time<boost::posix_time::ptime>(
+                         "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                    << " level=" << boost::log::trivial::severity << " "
+                    << expressions::smessage);
+  boost::log::core::get()->remove_all_sinks();
+  boost::log::core::get()->add_sink(sink);
   boost::log::core::get()->set_filter(boost::log::trivial::severity >=
                                       ToSeverity(aLevel));
 }
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -15,7 +15,9 @@
   kError,
 };
 
-/// Sends log lines of aLevel and above to standard error.
+/// Sends log lines of aLevel and above to standard output. A line that the
+/// reader has no room for is dropped, so that a reader that has stopped never
+/// blocks the process; the next line that is written tells how many were lost.
 void
 InitializeLog(log_level aLevel);
 
