LibTraffic: Bound repeats by the deployment; serve higher ranks first

The settings now carry the three bounds. A lower rank gets only what higher ranks have not asked for in the window; it took up to half before, so that in an outage of a deep service status reads used repeats that bookings were refused. Tests: LowerLevelsGetWhatHigherOnesHaveNotAskedFor, TheWindowFollowsTheAllowance, RepeatsFollowTheBoundsOfTheDeployment.

--- a/Libraries/LibDaemon/Settings.cpp
+++ b/Libraries/LibDaemon/Settings.cpp
@@ -19,6 +19,9 @@
 constexpr core::integer_range kConnectionRange{ 1, 100000 };
 constexpr core::integer_range kDepthRange{ 1, 64 };
 constexpr core::integer_range kGraceRange{ 0, 600000 };
+constexpr core::integer_range kPercentRange{ 0, 100 };
+constexpr core::integer_range kRetryWindowRange{ 100, 600000 };
+constexpr core::integer_range kRetrySlackRange{ 0, 1000000 };
 constexpr std::size_t kMaximumReplicas = 7;
 
 constexpr std::array<core::enumeration_name<core::log_level>, 4> kLevelNames{
@@ -123,6 +126,32 @@
                          aOut.mReadyAddress,
                          kOptional,
                          "Listener that tells readiness alone.");
+  aReader.NetworkAddress("metrics_address",
+                         aOut.mMetricsAddress,
+                         kOptional,
+                         "Further listener for metrics.");
+}
+
+void
+ReadRetries(json_reader& aReader, retry_settings& aOut)
+{
+  aReader.Number("maximum_percent",
+                 aOut.mMaximumPercent,
+                 kPercentRange,
+                 kOptional,
+                 "Most repeats for each hundred calls of a pool.");
+  aReader.Number("window_ms",
+                 aOut.mWindowMilliseconds,
+                 kRetryWindowRange,
+                 kOptional,
+                 "Span over which repeats are counted.");
+  aReader.Number("slack",
+                 aOut.mSlack,
+                 kRetrySlackRange,
+                 kOptional,
+                 "Repeats beyond the percentage, of all daemons together; 0 "
+                 "means one for each daemon.");
+  aOut.mOneForEachDaemon = aOut.mSlack == 0;
 }
 
 void
@@ -196,6 +225,13 @@
   if (isReplica) {
     settings.mControl = control;
   }
+  aReader.Object(
+    "retries",
+    kOptional,
+    [&settings](json_reader& aNested) {
+      ReadRetries(aNested, settings.mRetries);
+    },
+    "Bounds on repeats, whatever the tables allow.");
   ReadLimits(aReader, settings);
   return settings;
 }
--- a/Libraries/LibDaemon/Settings.h
+++ b/Libraries/LibDaemon/Settings.h
@@ -45,6 +45,22 @@
   bool operator==(control_settings const&) const = default;
 };
 
+/// Bounds on repeats that hold whatever the tables allow, since upstreams count
+/// what reaches them from all daemons together.
+struct retry_settings
+{
+  /// Most repeats for each hundred calls of a pool.
+  std::uint32_t mMaximumPercent = 100;
+  /// Any span of this length counts.
+  std::uint32_t mWindowMilliseconds = 10000;
+  /// Repeats beyond the percentage, of all daemons together.
+  std::uint32_t mSlack = 0;
+  /// Whether each daemon has one repeat beyond the percentage instead.
+  bool mOneForEachDaemon = true;
+
+  bool operator==(retry_settings const&) const = default;
+};
+
 struct daemon_settings
 {
   core::instance_id mInstance;
@@ -56,6 +72,9 @@
   core::address mPeerAddress;
   /// Listener for readiness alone; port 0 means none.
   core::address mReadyAddress;
+  /// Listener for metrics alone, on a port that is known in advance; port 0
+  /// means that only the operators' listener serves them.
+  core::address mMetricsAddress;
   std::vector<core::address> mSeeds;
   /// Without a service, the instance has no upstream and serves no callers.
   upstream_settings mUpstream;
@@ -67,6 +86,7 @@
   /// Time for which callers are still served after a stop was requested, since
   /// they learn of it late.
   std::uint32_t mDrainServeMilliseconds = 0;
+  retry_settings mRetries;
   /// Whether requests with an idempotency key are claimed before they run.
   bool mClaims = true;
   core::log_level mLogLevel = core::log_level::kInfo;
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -25,9 +25,9 @@
 
 traffic_policy::pool_state::pool_state(traffic::location aHere,
                                        core::random_source& aRandom,
-                                       std::uint32_t aRetryPercent)
+                                       traffic::retry_allowance aAllowance)
   : mSelector(std::move(aHere), aRandom)
-  , mRatio(aRetryPercent)
+  , mRatio(aAllowance)
 {
 }
 
@@ -92,9 +92,10 @@
         candidates.push_back(ToCandidate(member));
       }
     }
+    auto const allowance = AllowanceOf(row);
     auto const [entry, isNew] =
-      mPools.try_emplace(name, here, mRandom, row.mRetryPercent);
-    entry->second.mRatio.SetPercent(row.mRetryPercent);
+      mPools.try_emplace(name, here, mRandom, allowance);
+    entry->second.mRatio.SetAllowance(allowance);
     entry->second.mSelector.Configure(row, std::move(candidates));
   }
   std::erase_if(mPools, [this](auto const& aEntry) {
@@ -102,6 +103,25 @@
   });
 }
 
+traffic::retry_allowance
+traffic_policy::AllowanceOf(tables::pool const& aPool) const
+{
+  auto const& bounds = mSettings.mRetries;
+  traffic::retry_allowance allowance;
+  allowance.mPercent = std::min(aPool.mRetryPercent, bounds.mMaximumPercent);
+  allowance.mWindow = std::chrono::milliseconds(bounds.mWindowMilliseconds);
+  if (!bounds.mOneForEachDaemon) {
+    // Every daemon beside an upstream may send to the pool.
+    auto const senders = std::count_if(
+      mView->mMembers.begin(), mView->mMembers.end(), [](auto const& aMember) {
+        return !aMember.mService.IsEmpty();
+      });
+    allowance.mFree = static_cast<double>(bounds.mSlack) /
+                      std::max(static_cast<double>(senders), 1.0);
+  }
+  return allowance;
+}
+
 std::shared_ptr<routing_view const>
 traffic_policy::View() const
 {
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -127,7 +127,7 @@
   {
     pool_state(traffic::location aHere,
                core::random_source& aRandom,
-               std::uint32_t aRetryPercent);
+               traffic::retry_allowance aAllowance);
 
     traffic::upstream_selector mSelector;
     traffic::retry_ratio mRatio;
@@ -160,6 +160,8 @@
   bool IsServing() const;
   void ConfigureAdmission(core::time_point aNow);
   void ConfigurePools();
+  /// Returns what the pool's row and the settings allow this daemon.
+  traffic::retry_allowance AllowanceOf(tables::pool const& aPool) const;
 
   daemon_settings const& mSettings;
   mutable std::mutex mMutex;
--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr double kPercent = 100;
-/// Repeats that a daemon may make beyond its share, so that one with few calls
-/// can repeat at all.
-constexpr double kFreeRepeats = 1;
 /// Part of the share that the lowest level may use; each higher one may use a
 /// further part.
 constexpr double kLowestLevelShare = 0.5;
@@ -105,26 +102,30 @@
   }
 }
 
-retry_ratio::retry_ratio(std::uint32_t aPercent)
-  : mPercent(aPercent)
+retry_ratio::retry_ratio(retry_allowance aAllowance)
+  : mAllowance(aAllowance)
 {
 }
 
 void
-retry_ratio::SetPercent(std::uint32_t aPercent)
+retry_ratio::SetAllowance(retry_allowance aAllowance)
 {
-  mPercent = aPercent;
+  if (aAllowance.mWindow != mAllowance.mWindow) {
+    mBuckets.fill({});
+  }
+  mAllowance = aAllowance;
 }
 
 retry_ratio::bucket&
 retry_ratio::At(core::time_point aNow)
 {
-  auto const length = kWindow.count() / static_cast<std::int64_t>(kBuckets);
+  auto const length =
+    mAllowance.mWindow.count() / static_cast<std::int64_t>(kBuckets);
   auto const number = aNow.time_since_epoch().count() / length;
   auto& found = mBuckets.at(
     static_cast<std::size_t>(number % static_cast<std::int64_t>(kBuckets)));
   if (found.mNumber != number) {
-    found = { number, 0, 0 };
+    found = { number, 0, 0, {} };
   }
   return found;
 }
@@ -138,31 +139,61 @@
 void
 retry_ratio::CountRepeat(core::time_point aNow)
 {
-  ++At(aNow).mRepeats;
+  ++At(aNow).mForced;
+}
+
+retry_ratio::bucket
+retry_ratio::Sum(core::time_point aNow)
+{
+  bucket sum;
+  sum.mNumber = At(aNow).mNumber;
+  for (auto const& entry : mBuckets) {
+    if (entry.mNumber <= sum.mNumber - static_cast<std::int64_t>(kBuckets)) {
+      continue;
+    }
+    sum.mCalls += entry.mCalls;
+    sum.mForced += entry.mForced;
+    for (std::size_t level = 0; level < entry.mLevels.size(); ++level) {
+      sum.mLevels.at(level).mAsked += entry.mLevels.at(level).mAsked;
+      sum.mLevels.at(level).mTaken += entry.mLevels.at(level).mTaken;
+    }
+  }
+  return sum;
 }
 
 bool
 retry_ratio::Take(core::time_point aNow, std::uint32_t aLevel)
 {
-  if (mPercent == 0) {
+  if (mAllowance.mPercent == 0) {
     return false;
   }
-  auto const present = At(aNow).mNumber;
-  double calls = 0;
-  double repeats = 0;
-  for (auto const& entry : mBuckets) {
-    if (entry.mNumber > present - static_cast<std::int64_t>(kBuckets)) {
-      calls += entry.mCalls;
-      repeats += entry.mRepeats;
+  auto& asked = At(aNow).mLevels.at(aLevel);
+  ++asked.mAsked;
+  auto const sum = Sum(aNow);
+  double takenBelow = sum.mForced;
+  double askedAbove = 0;
+  double taken = sum.mForced;
+  for (std::size_t level = 0; level < sum.mLevels.size(); ++level) {
+    auto const& counts = sum.mLevels.at(level);
+    taken += counts.mTaken;
+    if (level <= aLevel) {
+      takenBelow += counts.mTaken;
+    } else {
+      askedAbove += counts.mAsked;
     }
   }
+  auto const share = sum.mCalls * mAllowance.mPercent / kPercent;
+  auto const allowed = share + mAllowance.mFree;
   auto const levels = static_cast<double>(tables::kShedLevels) - 1;
   auto const part =
     kLowestLevelShare + (1 - kLowestLevelShare) * aLevel / levels;
-  if (repeats + 1 > calls * mPercent / kPercent * part + kFreeRepeats) {
+  bool const fits = taken + 1 <= allowed &&
+                    takenBelow + 1 <= share * part + mAllowance.mFree &&
+                    takenBelow + 1 <= allowed - askedAbove;
+  if (!fits) {
     return false;
   }
-  ++At(aNow).mRepeats;
+  ++asked.mTaken;
   return true;
 }
 
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -7,6 +7,7 @@
 #include "LibTraffic/CallContext.h"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -59,15 +60,28 @@
   std::set<std::pair<core::time_point, core::request_id>> mExpiries;
 };
 
+/// Repeats that one daemon may make at one pool within any window.
+struct retry_allowance
+{
+  /// Repeats for each hundred calls.
+  std::uint32_t mPercent = 0;
+  /// Repeats beyond that share, so that a daemon with few calls can repeat at
+  /// all.
+  double mFree = 1;
+  core::duration mWindow = std::chrono::seconds(10);
+
+  bool operator==(retry_allowance const&) const = default;
+};
+
 /// Repeats of one daemon at one pool, bounded as a share of its calls within a
 /// sliding window. All daemons together then stay within that share of all
 /// calls, without a message between them.
 class retry_ratio
 {
 public:
-  explicit retry_ratio(std::uint32_t aPercent);
+  explicit retry_ratio(retry_allowance aAllowance);
 
-  void SetPercent(std::uint32_t aPercent);
+  void SetAllowance(retry_allowance aAllowance);
 
   /// Counts a call, not its further attempts.
   void CountCall(core::time_point aNow);
@@ -76,26 +90,38 @@
   /// call made by a run that was a repeat itself.
   void CountRepeat(core::time_point aNow);
 
-  /// Takes one repeat for a call of aLevel; false when there is none. Lower
-  /// levels leave a part of the share to higher ones.
+  /// Takes one repeat for a call of aLevel; false when there is none. A lower
+  /// level gets what higher ones have not asked for in the window, and leaves
+  /// a part of the allowance to those that may yet ask.
   bool Take(core::time_point aNow, std::uint32_t aLevel);
 
-  /// Length of the window.
-  static constexpr core::duration kWindow{ 10'000'000 };
-
 private:
   static constexpr std::size_t kBuckets = 20;
 
+  /// Counts of one level.
+  struct level_counts
+  {
+    std::uint32_t mAsked = 0;
+    std::uint32_t mTaken = 0;
+  };
+
+  using all_levels =
+    std::array<level_counts, static_cast<std::size_t>(tables::kShedLevels)>;
+
   struct bucket
   {
     std::int64_t mNumber = -1;
     std::uint32_t mCalls = 0;
-    std::uint32_t mRepeats = 0;
+    /// Repeats that were not asked for here.
+    std::uint32_t mForced = 0;
+    all_levels mLevels{};
   };
 
   bucket& At(core::time_point aNow);
+  /// Returns the sums over the window.
+  bucket Sum(core::time_point aNow);
 
-  std::uint32_t mPercent;
+  retry_allowance mAllowance;
   std::array<bucket, kBuckets> mBuckets{};
 };
 
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -43,7 +43,7 @@
 std::optional<retry_decision>
 Decide(retry_facts const& aFacts)
 {
-  retry_ratio ratio(10);
+  retry_ratio ratio({ 10 });
   core::random_source random(3);
   return DecideRetry(aFacts, ratio, random);
 }
@@ -117,7 +117,7 @@
 BOOST_AUTO_TEST_CASE(RatioBoundsTheRetriesOfADaemon)
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
-  retry_ratio ratio(10);
+  retry_ratio ratio({ 10 });
   BOOST_TEST(ratio.Take(kStart, kHighest));
   BOOST_TEST(!ratio.Take(kStart, kHighest));
   for (int call = 0; call < 100; ++call) {
@@ -128,7 +128,7 @@
     ++taken;
   }
   BOOST_TEST(taken == 10);
-  retry_ratio none(0);
+  retry_ratio none({ 0 });
   none.CountCall(kStart);
   BOOST_TEST(!none.Take(kStart, kHighest));
 }
@@ -137,11 +137,11 @@
 BOOST_AUTO_TEST_CASE(CallsBeforeTheWindowCountNoMore)
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
-  retry_ratio ratio(10);
+  retry_ratio ratio({ 10 });
   for (int call = 0; call < 1000; ++call) {
     ratio.CountCall(kStart);
   }
-  auto const later = kStart + 2 * retry_ratio::kWindow;
+  auto const later = kStart + 2 * retry_allowance{}.mWindow;
   BOOST_TEST(ratio.Take(later, kHighest));
   BOOST_TEST(!ratio.Take(later, kHighest));
 }
@@ -150,7 +150,7 @@
 BOOST_AUTO_TEST_CASE(LowerLevelsLeaveAPartOfTheRepeats)
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
-  retry_ratio ratio(10);
+  retry_ratio ratio({ 10 });
   for (int call = 0; call < 100; ++call) {
     ratio.CountCall(kStart);
   }
@@ -162,12 +162,52 @@
   BOOST_TEST(ratio.Take(kStart, kHighest));
 }
 
+// Guards against an outage in which the calls of lower levels, which are more,
+// take the repeats that bookings ask for at the same time.
+BOOST_AUTO_TEST_CASE(LowerLevelsGetWhatHigherOnesHaveNotAskedFor)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio({ 10 });
+  for (int call = 0; call < 100; ++call) {
+    ratio.CountCall(kStart);
+  }
+  for (int asked = 0; asked < 9; ++asked) {
+    BOOST_TEST(ratio.Take(kStart, kHighest));
+  }
+  // Two of eleven repeats are left, and 9 were asked for by the others.
+  BOOST_TEST(ratio.Take(kStart, 0));
+  BOOST_TEST(ratio.Take(kStart, 0));
+  BOOST_TEST(!ratio.Take(kStart, 0));
+  auto const later = kStart + retry_allowance{}.mWindow / 2;
+  for (int call = 0; call < 100; ++call) {
+    ratio.CountCall(later);
+  }
+  for (int asked = 0; asked < 12; ++asked) {
+    ratio.Take(later, kHighest);
+  }
+  BOOST_TEST(!ratio.Take(later, 0));
+}
+
+// Guards against more repeats than upstreams take where the window of their
+// bound is shorter than usual.
+BOOST_AUTO_TEST_CASE(TheWindowFollowsTheAllowance)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio({ 10, 1, std::chrono::seconds(2) });
+  for (int call = 0; call < 1000; ++call) {
+    ratio.CountCall(kStart);
+  }
+  auto const later = kStart + std::chrono::seconds(3);
+  BOOST_TEST(ratio.Take(later, kHighest));
+  BOOST_TEST(!ratio.Take(later, kHighest));
+}
+
 // Guards against repeats of whole call trees that are counted at their top
 // only.
 BOOST_AUTO_TEST_CASE(RepeatsOfOthersUseUpTheShare)
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
-  retry_ratio ratio(10);
+  retry_ratio ratio({ 10 });
   for (int call = 0; call < 100; ++call) {
     ratio.CountCall(kStart);
   }
--- a/Tests/Platform/TestSettings.cpp
+++ b/Tests/Platform/TestSettings.cpp
@@ -69,6 +69,23 @@
              2);
 }
 
+// Guards against more repeats than the platform allows at a deployment with
+// other bounds than the two that are known.
+BOOST_AUTO_TEST_CASE(RepeatsFollowTheBoundsOfTheDeployment)
+{
+  auto text = kUpstreamInstance;
+  std::string const bounds = "\"SeedLagS=3\"";
+  text.replace(text.find(bounds),
+               bounds.size(),
+               "\"RetryBudgetRatio=0.1\", \"BudgetWindowS=5\", "
+               "\"RetryBudgetSlack=40\"");
+  auto const retries = Decoded(text).mDaemon.mRetries;
+  BOOST_TEST(retries.mMaximumPercent == 8);
+  BOOST_TEST(retries.mWindowMilliseconds == 5000);
+  BOOST_TEST(retries.mSlack == 20);
+  BOOST_TEST(!retries.mOneForEachDaemon);
+}
+
 BOOST_AUTO_TEST_CASE(ProblemsNameFileAndField)
 {
   auto const decoded = core::Attempt(
--- a/Utilities/RandomRun/OverloadMesh.cpp
+++ b/Utilities/RandomRun/OverloadMesh.cpp
@@ -109,7 +109,8 @@
       here, mRandom, mPolicy.mSelection);
     selector->Configure(PoolOf(service), std::move(candidates));
     aNode.mSelectors.push_back(std::move(selector));
-    aNode.mRatios.emplace_back(PoolOf(service).mRetryPercent);
+    aNode.mRatios.emplace_back(
+      traffic::retry_allowance{ PoolOf(service).mRetryPercent });
   }
 }
 
--- a/Utilities/RandomRun/OverloadSender.cpp
+++ b/Utilities/RandomRun/OverloadSender.cpp
@@ -127,7 +127,7 @@
   }
   auto& from = *mNodes.at(call.mCall.mFrom);
   auto& ratio = from.mRatios.at(call.mCall.mService);
-  traffic::retry_ratio unlimited(100);
+  traffic::retry_ratio unlimited({ 100 });
   auto const decision = traffic::DecideRetry(
     { aEnd.mOutcome,
       aEnd.mReason,
