LibDaemon: Probe silent connections; tell whether a late call has run

Causes: (1) a call whose connection was still being opened at its deadline was answered 504 and sent later all the same; (2) connecting took up to 1 s, beyond the timeout of most routes; (3) a connection that went silent without a reset was used for good; (4) at the deadline a call in the queue of the other daemon was answered 504, though that daemon knows that it has not run. Waiting frames now go with their call, connecting ends after 300 ms, a quiet connection is probed, and the sender waits 80 ms beyond the deadline for the other daemon's word. Also: latency histograms, a metrics listener of its own, and log lines for attempts, retries, answers, refusals at the upstream and changes of members.

--- a/Libraries/LibDaemon/AdminApi.cpp
+++ b/Libraries/LibDaemon/AdminApi.cpp
@@ -17,6 +17,8 @@
 
 constexpr core::duration kControlTimeout = 5s;
 constexpr std::size_t kMaximumBodyBytes = 8UL * 1024UL * 1024UL;
+constexpr std::string_view kMetricsPath = "/metrics";
+constexpr char const* kUnknownResource = "no such resource\n";
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
@@ -90,6 +92,10 @@
   , mReadyServer(
       aContext.get_executor(),
       [this](http::server_exchange& aExchange) { return Handle(aExchange); })
+  , mMetricsServer(aContext.get_executor(),
+                   [this](http::server_exchange& aExchange) {
+                     return HandleMetrics(aExchange);
+                   })
 {
 }
 
@@ -100,6 +106,9 @@
   if (mSettings.mReadyAddress.mPort != 0) {
     BOOST_LEAF_CHECK(mReadyServer.Listen(mSettings.mReadyAddress));
   }
+  if (mSettings.mMetricsAddress.mPort != 0) {
+    BOOST_LEAF_CHECK(mMetricsServer.Listen(mSettings.mMetricsAddress));
+  }
   return {};
 }
 
@@ -108,6 +117,7 @@
 {
   mServer.Stop();
   mReadyServer.Stop();
+  mMetricsServer.Stop();
 }
 
 task<replacement_answer>
@@ -188,6 +198,17 @@
   co_await aExchange.Respond(response);
 }
 
+task<void>
+admin_api::HandleMetrics(http::server_exchange& aExchange)
+{
+  auto const& head = aExchange.Head();
+  bool const isKnown =
+    head.mMethod == "GET" && http::PathOf(head.mTarget) == kMetricsPath;
+  auto const response = isKnown ? TextResponse(kOk, mMetrics.Text())
+                                : TextResponse(kNotFound, kUnknownResource);
+  co_await aExchange.Respond(response);
+}
+
 task<http::response>
 admin_api::Respond(http::request aRequest)
 {
@@ -203,9 +224,9 @@
     co_return co_await SubmitEdit(std::move(aRequest.mBody));
   }
   if (aRequest.mHead.mMethod != "GET") {
-    co_return TextResponse(kNotFound, "no such resource\n");
+    co_return TextResponse(kNotFound, kUnknownResource);
   }
-  if (path == "/metrics") {
+  if (path == kMetricsPath) {
     co_return TextResponse(kOk, mMetrics.Text());
   }
   if (path == "/healthz") {
@@ -229,7 +250,7 @@
   if (path == "/v1/explain") {
     co_return Explain(target);
   }
-  co_return TextResponse(kNotFound, "no such resource\n");
+  co_return TextResponse(kNotFound, kUnknownResource);
 }
 
 http::response
--- a/Libraries/LibDaemon/AdminApi.h
+++ b/Libraries/LibDaemon/AdminApi.h
@@ -38,6 +38,8 @@
 
 private:
   task<void> Handle(http::server_exchange& aExchange);
+  /// Serves the metrics and nothing else.
+  task<void> HandleMetrics(http::server_exchange& aExchange);
   task<http::response> Respond(http::request aRequest);
   /// Returns why the daemon takes no part in the mesh, or an empty text.
   std::string NotInMeshReason() const;
@@ -61,6 +63,7 @@
   http::server mServer;
   /// Serves the same on the listener for readiness.
   http::server mReadyServer;
+  http::server mMetricsServer;
 };
 
 }
--- a/Libraries/LibDaemon/CallFrames.h
+++ b/Libraries/LibDaemon/CallFrames.h
@@ -159,6 +159,15 @@
   bool operator==(control_frame const&) const = default;
 };
 
+/// Asks whether the connection still carries bytes both ways; the accepting
+/// side sends it back.
+struct link_probe
+{
+  bool mIsReply = false;
+
+  bool operator==(link_probe const&) const = default;
+};
+
 using call_frame = std::variant<hello,
                                 call_head,
                                 body_chunk,
@@ -168,7 +177,8 @@
                                 cancel,
                                 refusal,
                                 traffic_message,
-                                control_frame>;
+                                control_frame,
+                                link_probe>;
 
 std::string
 EncodeCallFrame(call_frame const& aFrame);
--- a/Libraries/LibDaemon/CallFramesCodec.h
+++ b/Libraries/LibDaemon/CallFramesCodec.h
@@ -141,4 +141,11 @@
   aArchive(aFrame.mEnvelope);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, link_probe& aFrame)
+{
+  aArchive(aFrame.mIsReply);
+}
+
 }
--- a/Libraries/LibDaemon/CallLink.cpp
+++ b/Libraries/LibDaemon/CallLink.cpp
@@ -8,7 +8,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr core::duration kConnectTimeout = 1s;
+/// Longer than a round trip between regions, 40 ms at the users' sites. With
+/// the usual second, a call would use up its route's timeout at one instance
+/// that is gone.
+constexpr core::duration kConnectTimeout = 300ms;
+constexpr auto kSilenceCheckInterval = 500ms;
 
 /// Returns the stream that a frame from the accepting side belongs to.
 struct stream_of_frame
@@ -73,17 +77,49 @@
 call_link::Send(call_frame const& aFrame)
 {
   if (mChannel && mChannel->IsOpen()) {
-    mChannel->Send(aFrame);
+    SendNow(aFrame);
     return;
   }
   mWaiting.push_back(aFrame);
   Connect();
 }
 
+void
+call_link::SendNow(call_frame const& aFrame)
+{
+  if (!mUnansweredSince) {
+    mUnansweredSince = Now();
+  }
+  mChannel->Send(aFrame);
+}
+
 void
 call_link::Release(stream_id aStream)
 {
   mStreams.erase(aStream);
+  std::erase_if(mWaiting, [aStream](call_frame const& aFrame) {
+    return std::visit(stream_of_frame{}, aFrame) == aStream;
+  });
+}
+
+void
+call_link::CheckSilence(core::time_point aNow)
+{
+  if (!mChannel || !mChannel->IsOpen() || !mUnansweredSince) {
+    return;
+  }
+  if (mProbed && aNow >= *mProbed + kProbeTimeout) {
+    core::LogWarning("connection_silent")
+      .Field("peer", core::FormatAddress(mPeer))
+      .Field("silent_ms", core::Milliseconds(aNow - *mUnansweredSince))
+      .Field("calls", static_cast<std::int64_t>(mStreams.size()));
+    mChannel->Close();
+    return;
+  }
+  if (!mProbed && aNow >= *mUnansweredSince + kQuietTime) {
+    mProbed = aNow;
+    mChannel->Send(link_probe{});
+  }
 }
 
 void
@@ -128,8 +164,10 @@
 void
 call_link::SendWaiting()
 {
+  mUnansweredSince.reset();
+  mProbed.reset();
   for (auto const& frame : mWaiting) {
-    mChannel->Send(frame);
+    SendNow(frame);
   }
   mWaiting.clear();
   for (auto const& [id, stream] : mStreams) {
@@ -182,6 +220,8 @@
       channel->Close();
       break;
     }
+    mUnansweredSince.reset();
+    mProbed.reset();
     Dispatch(std::move(*frame));
   }
   // The peer may have started any of them.
@@ -192,6 +232,9 @@
 void
 call_link::Dispatch(call_frame aFrame)
 {
+  if (std::holds_alternative<link_probe>(aFrame)) {
+    return;
+  }
   auto const found = mStreams.find(std::visit(stream_of_frame{}, aFrame));
   if (found == mStreams.end()) {
     mMetrics.CountLateFrame();
@@ -247,12 +290,42 @@
   if (!link) {
     link = std::make_shared<call_link>(mExecutor, mHello, aPeer, mMetrics);
   }
+  if (!mWatchTimer) {
+    mWatchTimer = std::make_shared<asio::steady_timer>(mExecutor);
+    asio::co_spawn(
+      mExecutor, [this] { return WatchSilence(); }, asio::detached);
+  }
   return *link;
 }
 
+task<void>
+link_pool::WatchSilence()
+{
+  auto const timer = mWatchTimer;
+  for (;;) {
+    auto const started = Now();
+    timer->expires_after(kSilenceCheckInterval);
+    auto const [code] = co_await timer->async_wait(kAsTuple);
+    if (code) {
+      co_return;
+    }
+    auto const now = Now();
+    // After a pause of the own process, silence of the peers proves nothing.
+    if (now > started + 2 * kSilenceCheckInterval) {
+      continue;
+    }
+    for (auto const& [peer, link] : mLinks) {
+      link->CheckSilence(now);
+    }
+  }
+}
+
 void
 link_pool::CloseAll()
 {
+  if (mWatchTimer) {
+    mWatchTimer->cancel();
+  }
   for (auto const& [peer, link] : mLinks) {
     link->Close();
   }
--- a/Libraries/LibDaemon/CallLink.h
+++ b/Libraries/LibDaemon/CallLink.h
@@ -5,7 +5,9 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +27,9 @@
   std::uint64_t mConnection = 0;
   /// Wakes the coroutine that runs the call.
   std::function<void()> mNotify;
+
+  /// Returns whether the peer may have seen the call.
+  bool WasSent() const { return mConnection != 0; }
 };
 
 /// Connection to the daemon of one peer, made on first use and again after it
@@ -42,15 +47,28 @@
                                         std::function<void()> aNotify);
   void Send(call_frame const& aFrame);
   /// Forgets a stream; frames that still arrive for it are counted as late.
+  /// Frames of it that wait for a connection are never sent, so that a call
+  /// that was given up does not run later.
   void Release(stream_id aStream);
+  /// Closes the connection when the peer has not answered a probe, and probes
+  /// one from which nothing has come for a while though frames were sent.
+  void CheckSilence(core::time_point aNow);
   void Close();
 
+  /// Time without a frame from the peer after which it is probed.
+  static constexpr core::duration kQuietTime = std::chrono::milliseconds(500);
+  /// Time for the answer to a probe. A daemon that lags behind its calls still
+  /// answers within it.
+  static constexpr core::duration kProbeTimeout =
+    std::chrono::milliseconds(1000);
+
 private:
   void Connect();
   task<void> Run();
   task<bool> OpenSocket();
   task<void> ReceiveFrames();
   void Dispatch(call_frame aFrame);
+  void SendNow(call_frame const& aFrame);
   /// Ends the streams whose head was given to aConnection; 0 ends those that
   /// still wait for a connection.
   void EndStreams(std::uint64_t aConnection,
@@ -67,6 +85,9 @@
   std::vector<call_frame> mWaiting;
   bool mIsConnecting = false;
   bool mIsClosed = false;
+  /// When the first frame was sent that no frame from the peer has followed.
+  std::optional<core::time_point> mUnansweredSince;
+  std::optional<core::time_point> mProbed;
   /// Counts the connections that were opened.
   std::uint64_t mConnection = 0;
   std::unordered_map<stream_id, std::shared_ptr<outgoing_stream>> mStreams;
@@ -83,10 +104,14 @@
   void CloseAll();
 
 private:
+  /// Looks for silent connections for as long as the pool is in use.
+  task<void> WatchSilence();
+
   asio::any_io_executor mExecutor;
   hello mHello;
   metrics& mMetrics;
   std::map<core::address, std::shared_ptr<call_link>> mLinks;
+  std::shared_ptr<asio::steady_timer> mWatchTimer;
 };
 
 }
--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -1,5 +1,8 @@
 #include "LibDaemon/CallRunner.h"
 
+#include "LibCore/Log.h"
+#include "LibDaemon/HttpFields.h"
+
 #include <algorithm>
 
 namespace cranberryfold::daemon {
@@ -16,6 +19,11 @@
 /// overload of the whole service, each further one adds a hop for nothing.
 constexpr std::uint32_t kMostFreeMoves = 3;
 constexpr std::uint32_t kFirstServerError = 500;
+/// Time beyond the deadline for the word of the daemon beside the upstream,
+/// which alone knows whether the call has run: two ways between regions, 20 ms
+/// each at the users' sites, and its own delay. Far below the 250 ms by which
+/// the users let a route's timeout be exceeded.
+constexpr core::duration kVerdictTime = std::chrono::milliseconds(80);
 
 }
 
@@ -93,6 +101,7 @@
   if (traffic::IsFreeMove(facts) && mFreeMoves < kMostFreeMoves) {
     ++mFreeMoves;
     mServices.mMetrics.CountRetry(retry_reason::kNotRun);
+    LogRetry(retry_reason::kNotRun, true);
     mBody.Rewind();
     co_return true;
   }
@@ -102,13 +111,16 @@
   }
   if (!decision->mBackoff) {
     mServices.mMetrics.CountRetry(decision->mReason);
+    LogRetry(decision->mReason, false);
     co_return false;
   }
   if (!co_await ObtainPermit()) {
     mServices.mMetrics.CountRetry(retry_reason::kRefusedNoPermit);
+    LogRetry(retry_reason::kRefusedNoPermit, false);
     co_return false;
   }
   mServices.mMetrics.CountRetry(decision->mReason);
+  LogRetry(decision->mReason, true);
   mRequest.mContext.mIsRepeat = true;
   asio::steady_timer backoff(mServices.mExecutor, *decision->mBackoff);
   co_await backoff.async_wait(kAsTuple);
@@ -189,7 +201,7 @@
   }
   auto const outcomeOfAttempt =
     result.mIsComplete ? outcome::kRan : result.mRefusal.mOutcome;
-  mServices.mMetrics.CountAttempt(outcomeOfAttempt);
+  mServices.mMetrics.CountAttempt(outcomeOfAttempt, Now() - started);
   traffic::attempt_report report;
   report.mInstance = aChosen.mInstance;
   report.mOutcome = outcomeOfAttempt;
@@ -202,13 +214,52 @@
   report.mRoute = mRequest.mContext.mRoute;
   report.mServerError = mLastStatus >= kFirstServerError;
   mServices.mPolicy.Report(Now(), mRequest.mPool, report);
+  if (!result.mIsComplete) {
+    LogFailedAttempt(report);
+  }
   co_return result;
 }
 
+void
+call_runner::LogFailedAttempt(traffic::attempt_report const& aReport) const
+{
+  auto const& context = mRequest.mContext;
+  auto line = core::LogInfo("attempt_failed");
+  line.Field("request", context.mRequest.mValue)
+    .Field("route", context.mRoute)
+    .Field("pool", mRequest.mPool)
+    .Field("upstream", aReport.mInstance.mValue)
+    .Field("attempt", mAttempts)
+    .Field("outcome", OutcomeName(aReport.mOutcome))
+    .Field(
+      "reason",
+      core::ReasonName(aReport.mReason.value_or(refusal_reason::kInternal)))
+    .Field("latency_ms", core::Milliseconds(aReport.mLatency))
+    .Field("left_ms", core::Milliseconds(context.mDeadline - Now()));
+  if (aReport.mStamp) {
+    line.Field("load", aReport.mStamp->mInFlight)
+      .Field("limit", aReport.mStamp->mLimit)
+      .Field("threshold", aReport.mStamp->mAdmissionThreshold);
+  }
+}
+
+void
+call_runner::LogRetry(retry_reason aReason, bool aIsMade) const
+{
+  core::LogInfo(aIsMade ? "retry" : "retry_refused")
+    .Field("request", mRequest.mContext.mRequest.mValue)
+    .Field("pool", mRequest.mPool)
+    .Field("attempt", mAttempts)
+    .Field("reason", core::ReasonName(aReason));
+}
+
 call_result
-call_runner::Stopped(refusal_reason aReason, bool aHasAnswer) const
+call_runner::Stopped(outgoing_stream const& aStream,
+                     refusal_reason aReason,
+                     bool aHasAnswer)
 {
-  return { aHasAnswer, false, { outcome::kUnknown, aReason, {} } };
+  auto const known = aStream.WasSent() ? outcome::kUnknown : outcome::kNotRun;
+  return { aHasAnswer, false, { known, aReason, {} } };
 }
 
 task<call_result>
@@ -217,16 +268,18 @@
                           std::shared_ptr<outgoing_stream> aStream)
 {
   bool hasAnswer = false;
+  auto const deadline = mRequest.mContext.mDeadline;
   for (;;) {
     if (mIsAbandoned || mBody.IsBroken()) {
-      co_return Stopped(refusal_reason::kBadRequest, hasAnswer);
+      co_return Stopped(*aStream, refusal_reason::kBadRequest, hasAnswer);
     }
-    if (Now() >= mRequest.mContext.mDeadline) {
-      co_return Stopped(refusal_reason::kDeadlineExceeded, hasAnswer);
+    auto const end = aStream->WasSent() ? deadline + kVerdictTime : deadline;
+    if (Now() >= end) {
+      co_return Stopped(*aStream, refusal_reason::kDeadlineExceeded, hasAnswer);
     }
     SendBody(aLink, *aStream);
     if (aStream->mEvents.empty()) {
-      co_await mSignal.Wait(mRequest.mContext.mDeadline);
+      co_await mSignal.Wait(end);
       continue;
     }
     auto const event = std::move(aStream->mEvents.front());
@@ -244,14 +297,14 @@
       mLastStatus = head->mStatus;
       mLastStamp = head->mStamp;
       if (!co_await mSink.mWriteHead(*head, aChosen.mInstance)) {
-        co_return Stopped(refusal_reason::kBadRequest, true);
+        co_return Stopped(*aStream, refusal_reason::kBadRequest, true);
       }
       if (!head->mHasBody) {
         co_return call_result{ true, true, {} };
       }
     } else if (auto const* const chunk = std::get_if<answer_chunk>(&event)) {
       if (!co_await ForwardChunk(aLink, *aStream, *chunk)) {
-        co_return Stopped(refusal_reason::kBadRequest, true);
+        co_return Stopped(*aStream, refusal_reason::kBadRequest, true);
       }
       if (chunk->mLast) {
         co_return call_result{ true, true, {} };
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -95,8 +95,13 @@
   task<bool> ObtainPermit();
   task<bool> AskRootForPermit();
   void SendBody(call_link& aLink, outgoing_stream& aStream);
+  void LogFailedAttempt(traffic::attempt_report const& aReport) const;
+  void LogRetry(core::retry_reason aReason, bool aIsMade) const;
   call_head MakeHead() const;
-  call_result Stopped(core::refusal_reason aReason, bool aHasAnswer) const;
+  /// Ends a call here. "Not run" rests on the call not having been sent.
+  static call_result Stopped(outgoing_stream const& aStream,
+                             core::refusal_reason aReason,
+                             bool aHasAnswer);
 
   outgoing_services& mServices;
   routed_request mRequest;
--- a/Libraries/LibDaemon/CallServer.cpp
+++ b/Libraries/LibDaemon/CallServer.cpp
@@ -107,6 +107,10 @@
       mHooks.mOnTrafficMessage(*message, mHello);
       return true;
     }
+    if (std::holds_alternative<link_probe>(aFrame)) {
+      mChannel->Send(link_probe{ true });
+      return true;
+    }
     if (auto* const envelope = std::get_if<control_frame>(&aFrame)) {
       mHooks.mOnControlEnvelope(std::move(envelope->mEnvelope));
       return true;
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -256,9 +256,35 @@
   }
 }
 
+void
+control_plane::LogMemberChanges()
+{
+  std::map<core::instance_id, std::string> states;
+  for (auto const& member : mDirectory.Members()) {
+    auto const& told = member.mAnnouncement;
+    auto state = std::string(membership::MemberStateName(member.mState)) + "/" +
+                 std::string(membership::LifecycleStateName(told.mLifecycle));
+    auto const before = mLoggedStates.find(told.mInstance);
+    bool const isKnown = before != mLoggedStates.end();
+    if (!isKnown || before->second != state) {
+      core::LogInfo("member_changed")
+        .Field("member", told.mInstance.mValue)
+        .Field("zone", told.mZone.mValue)
+        .Field("service", told.mService.mValue)
+        .Field("from", isKnown ? before->second : "unknown")
+        .Field("to", state)
+        .Field("incarnation",
+               static_cast<std::int64_t>(told.mIncarnation.mValue));
+    }
+    states.emplace(told.mInstance, std::move(state));
+  }
+  mLoggedStates = std::move(states);
+}
+
 void
 control_plane::OnMembersChanged()
 {
+  LogMemberChanges();
   PublishView();
   HandleDistributor(membership::peers_changed{ mDirectory.Peers() });
   if (mReplica) {
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -75,6 +75,8 @@
                      control::message const& aMessage);
   void PublishView();
   void OnMembersChanged();
+  /// Writes a line for each member whose state is another than before.
+  void LogMemberChanges();
   /// Live instances that can be control replicas, by their peer addresses.
   std::map<core::instance_id, core::address> LiveReplicas() const;
   /// On the leader: keeps the control group at full strength.
@@ -93,6 +95,8 @@
   asio::steady_timer mTimer;
   control_transport mTransport;
   membership::member_directory mDirectory;
+  /// State and life cycle of each member, as last logged.
+  std::map<core::instance_id, std::string> mLoggedStates;
   membership::configuration_distributor mDistributor;
   std::unique_ptr<replica_host> mReplica;
   claim_map_keeper mClaimMapKeeper;
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -337,7 +337,9 @@
       }
       co_return co_await Refuse(result.mRefusal);
     }
-    Outgoing().mMetrics.CountResponse(mClass, mAnswer->result_int());
+    Outgoing().mMetrics.CountResponse(
+      mClass, mAnswer->result_int(), mAnswered - mStarted);
+    LogAnswer(result);
     // A truncated answer must not look whole: the connection ends before the
     // announced length or the last chunk.
     co_return result.mIsComplete&& bodyWasRead && mAnswer->keep_alive();
@@ -428,6 +430,7 @@
   task<bool> WriteHead(answer_head const& aHead,
                        core::instance_id const& aInstance)
   {
+    mAnswered = Now();
     mAnswer.emplace();
     mAnswer->version(mParser->get().version());
     mAnswer->result(aHead.mStatus);
@@ -468,7 +471,7 @@
   {
     auto const status = mServices.mDialect.mStatusFor(aRefusal);
     Outgoing().mMetrics.CountRefusal(refusal_place::kCaller, aRefusal.mReason);
-    Outgoing().mMetrics.CountResponse(mClass, status);
+    Outgoing().mMetrics.CountResponse(mClass, status, Now() - mStarted);
     LogRefusal(aRefusal, status);
     auto const& message = mParser->get();
     http::response<http::string_body> response;
@@ -509,6 +512,21 @@
       .Field("age_ms", core::Milliseconds(Now() - mStarted));
   }
 
+  void LogAnswer(call_result const& aResult) const
+  {
+    auto const facts = mServices.mDialect.mReadCaller(mParser->get());
+    auto line = core::LogInfo(aResult.mIsComplete ? "request_answered"
+                                                  : "request_cut_off");
+    line.Field("request", facts.mRequest.mValue)
+      .Field("nested", mIsNested ? "yes" : "no")
+      .Field("status", mAnswer->result_int())
+      .Field("answered_ms", core::Milliseconds(mAnswered - mStarted))
+      .Field("age_ms", core::Milliseconds(Now() - mStarted));
+    if (!aResult.mIsComplete) {
+      line.Field("reason", core::ReasonName(aResult.mRefusal.mReason));
+    }
+  }
+
   /// Reads what is left of the request. Returns whether that was all of it.
   task<bool> DiscardBody()
   {
@@ -546,6 +564,8 @@
   signal mRoom;
   tables::work_class mClass = tables::work_class::kCatalogue;
   core::time_point mStarted;
+  /// When the head of the answer went out.
+  core::time_point mAnswered;
   bool mIsNested = false;
   /// Whether the retry budget of the request is kept here.
   bool mOwnsBudget = true;
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -1,6 +1,7 @@
 #include "LibDaemon/IncomingCall.h"
 
 #include "LibCore/Hash.h"
+#include "LibCore/Log.h"
 #include "LibDaemon/HttpFields.h"
 
 #include <algorithm>
@@ -496,13 +497,26 @@
 void
 incoming_call::SendRefusal(call_refusal const& aRefusal)
 {
-  mChannel->Send(
-    refusal{ mHead.mStream,
-             mHead.mAttempt,
-             aRefusal.mOutcome,
-             aRefusal.mReason,
-             aRefusal.mRetryAfter,
-             mServices.mPolicy.Stamp(Now(), mHead.mContext.mRoute) });
+  auto const now = Now();
+  auto const stamp = mServices.mPolicy.Stamp(now, mHead.mContext.mRoute);
+  core::LogInfo("call_refused")
+    .Field("request", mHead.mContext.mRequest.mValue)
+    .Field("route", mHead.mContext.mRoute)
+    .Field("from", core::FormatAddress(mChannel->RemoteAddress()))
+    .Field("outcome", OutcomeName(aRefusal.mOutcome))
+    .Field("reason", core::ReasonName(aRefusal.mReason))
+    .Field("age_ms", core::Milliseconds(now - mArrived))
+    .Field("left_ms", core::Milliseconds(mHead.mContext.mDeadline - now))
+    .Field("load", stamp.mInFlight)
+    .Field("limit", stamp.mLimit)
+    .Field("threshold", stamp.mAdmissionThreshold)
+    .Field("downstream_threshold", stamp.mDownstreamThreshold);
+  mChannel->Send(refusal{ mHead.mStream,
+                          mHead.mAttempt,
+                          aRefusal.mOutcome,
+                          aRefusal.mReason,
+                          aRefusal.mRetryAfter,
+                          stamp });
 }
 
 }
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -8,6 +8,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -18,6 +19,7 @@
 using prometheus::Counter;
 using prometheus::Family;
 using prometheus::Gauge;
+using prometheus::Histogram;
 
 constexpr std::size_t kRefusalPlaces =
   static_cast<std::size_t>(refusal_place::kListener) + 1;
@@ -41,6 +43,31 @@
   return "";
 }
 
+/// Upper bounds in seconds, from a call within a zone to the longest deadline
+/// of the users' callers.
+Histogram::BucketBoundaries const&
+LatencyBounds()
+{
+  static Histogram::BucketBoundaries const bounds{ 0.01, 0.025, 0.05, 0.1, 0.25,
+                                                   0.5,  1.0,   2.5,  6.0 };
+  return bounds;
+}
+
+double
+ToSeconds(core::duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+Family<Histogram>&
+LatencyFamily(prometheus::Registry& aRegistry,
+              char const* aName,
+              char const* aHelp)
+{
+  return prometheus::BuildHistogram().Name(aName).Help(aHelp).Register(
+    aRegistry);
+}
+
 Family<Counter>&
 CounterFamily(prometheus::Registry& aRegistry,
               char const* aName,
@@ -70,6 +97,14 @@
     CounterFamily(mRegistry,
                   "cranberryfold_responses_total",
                   "Responses to callers, by class and status class.");
+  Family<Histogram>& mAttemptSeconds =
+    LatencyFamily(mRegistry,
+                  "cranberryfold_attempt_seconds",
+                  "Time of attempts at upstreams, by outcome.");
+  Family<Histogram>& mResponseSeconds =
+    LatencyFamily(mRegistry,
+                  "cranberryfold_response_seconds",
+                  "Time until the response to a caller began, by class.");
   Family<Counter>& mOther = CounterFamily(mRegistry,
                                           "cranberryfold_events_total",
                                           "Other counted events and bytes.");
@@ -88,6 +123,8 @@
   std::array<Counter*, kOutcomes> mAttemptCounters{};
   std::array<std::array<Counter*, kStatusClasses>, tables::kWorkClassCount>
     mResponseCounters{};
+  std::array<Histogram*, kOutcomes> mAttemptHistograms{};
+  std::array<Histogram*, tables::kWorkClassCount> mResponseHistograms{};
   /// What Digest() has told before.
   std::map<std::string, double> mTold;
 };
@@ -115,10 +152,14 @@
     auto const name = OutcomeName(static_cast<traffic::outcome>(index));
     all.mAttemptCounters.at(index) =
       &all.mAttempts.Add({ { "outcome", std::string(name) } });
+    all.mAttemptHistograms.at(index) = &all.mAttemptSeconds.Add(
+      { { "outcome", std::string(name) } }, LatencyBounds());
   }
   for (std::size_t index = 0; index < tables::kWorkClassCount; ++index) {
     auto const name =
       tables::WorkClassName(static_cast<tables::work_class>(index));
+    all.mResponseHistograms.at(index) = &all.mResponseSeconds.Add(
+      { { "class", std::string(name) } }, LatencyBounds());
     for (std::size_t status = 0; status < kStatusClasses; ++status) {
       all.mResponseCounters.at(index).at(status) = &all.mResponses.Add(
         { { "class", std::string(name) },
@@ -144,14 +185,17 @@
 }
 
 void
-metrics::CountAttempt(traffic::outcome aOutcome)
+metrics::CountAttempt(traffic::outcome aOutcome, core::duration aLatency)
 {
-  mFamilies->mAttemptCounters.at(static_cast<std::size_t>(aOutcome))
-    ->Increment();
+  auto const index = static_cast<std::size_t>(aOutcome);
+  mFamilies->mAttemptCounters.at(index)->Increment();
+  mFamilies->mAttemptHistograms.at(index)->Observe(ToSeconds(aLatency));
 }
 
 void
-metrics::CountResponse(tables::work_class aClass, unsigned aStatus)
+metrics::CountResponse(tables::work_class aClass,
+                       unsigned aStatus,
+                       core::duration aLatency)
 {
   constexpr unsigned kStatusClassSize = 100;
   auto const status =
@@ -159,6 +203,8 @@
   mFamilies->mResponseCounters.at(static_cast<std::size_t>(aClass))
     .at(status - 1)
     ->Increment();
+  mFamilies->mResponseHistograms.at(static_cast<std::size_t>(aClass))
+    ->Observe(ToSeconds(aLatency));
 }
 
 std::vector<std::pair<std::string, std::int64_t>>
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Reasons.h"
+#include "LibCore/Time.h"
 #include "LibTables/Tables.h"
 #include "LibTraffic/CallContext.h"
 
@@ -34,10 +35,13 @@
 
   void CountRefusal(refusal_place aPlace, core::refusal_reason aReason);
   void CountRetry(core::retry_reason aReason);
-  /// Counts a finished attempt at an upstream.
-  void CountAttempt(traffic::outcome aOutcome);
-  /// Counts a response to a caller, by class and status.
-  void CountResponse(tables::work_class aClass, unsigned aStatus);
+  /// Counts a finished attempt at an upstream and how long it took.
+  void CountAttempt(traffic::outcome aOutcome, core::duration aLatency);
+  /// Counts a response to a caller, by class and status, and its time since the
+  /// request was read.
+  void CountResponse(tables::work_class aClass,
+                     unsigned aStatus,
+                     core::duration aLatency);
   void CountInterRegionBytes(std::uint64_t aBytes);
   void CountLateFrame();
   void SetGauge(std::string_view aName, double aValue);
--- a/Tests/LibDaemon/TestCallLink.cpp
+++ b/Tests/LibDaemon/TestCallLink.cpp
@@ -1,5 +1,9 @@
 #include "LibDaemon/CallLink.h"
 
+#include <string>
+#include <vector>
+
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace cranberryfold;
@@ -50,6 +54,33 @@
     }
   }
 
+  /// Runs all events that need no further ones from outside.
+  void Settle()
+  {
+    while (mContext.poll_one() > 0) {
+    }
+  }
+
+  /// Reads the frames that have arrived on the first connection.
+  std::vector<call_frame> TakeFrames()
+  {
+    auto& socket = mAccepted.front();
+    std::vector<call_frame> frames;
+    std::string bytes(socket.available(), '\0');
+    bytes.resize(socket.receive(asio::buffer(bytes)));
+    wire::frame_splitter splitter(wire::kMaximumCallFrameBytes);
+    splitter.Append(bytes);
+    for (;;) {
+      auto const payload = core::Attempt([&] { return splitter.Next(); });
+      BOOST_REQUIRE(payload);
+      if (!payload.mValue->has_value()) {
+        return frames;
+      }
+      frames.push_back(*core::Attempt(
+        [&payload] { return DecodeCallFrame(**payload.mValue); }));
+    }
+  }
+
   static refusal const& RefusalOf(outgoing_stream const& aStream)
   {
     return std::get<refusal>(aStream.mEvents.front());
@@ -85,4 +116,59 @@
   mLink->Close();
 }
 
+// Guards against a run that nobody waits for: the caller was told "not run"
+// while the call still waited for the connection, which opened later.
+BOOST_AUTO_TEST_CASE(ACallThatWasGivenUpIsNotSentLater)
+{
+  auto const givenUp = Open();
+  mLink->Release(givenUp->mId);
+  auto const kept = Open();
+  RunUntil([&] { return kept->mConnection != 0 && !mAccepted.empty(); });
+  Settle();
+  int heads = 0;
+  for (auto const& frame : TakeFrames()) {
+    heads += std::holds_alternative<call_head>(frame) ? 1 : 0;
+  }
+  BOOST_TEST(heads == 1);
+  BOOST_TEST(!givenUp->WasSent());
+  mLink->Close();
+}
+
+// Guards against calls that go on being sent into a connection that has gone
+// silent without a reset: each would wait for its deadline.
+BOOST_AUTO_TEST_CASE(AConnectionThatAnswersNoProbeIsGivenUp)
+{
+  auto const stream = Open();
+  RunUntil([&] { return stream->WasSent() && !mAccepted.empty(); });
+  auto const probed = Now() + call_link::kQuietTime;
+  mLink->CheckSilence(probed);
+  BOOST_TEST(stream->mEvents.empty());
+  mLink->CheckSilence(probed + call_link::kProbeTimeout);
+  RunUntil([&] { return !stream->mEvents.empty(); });
+  BOOST_TEST((RefusalOf(*stream).mOutcome == traffic::outcome::kUnknown));
+  BOOST_TEST((RefusalOf(*stream).mReason == core::refusal_reason::kPeerLost));
+  auto const next = Open();
+  RunUntil([&] { return next->WasSent(); });
+  mLink->Close();
+}
+
+// Guards against the end of a connection on which work takes long: an answered
+// probe shows that it carries bytes.
+BOOST_AUTO_TEST_CASE(AnAnsweredProbeKeepsTheConnection)
+{
+  auto const stream = Open();
+  RunUntil([&] { return stream->WasSent() && !mAccepted.empty(); });
+  auto const probed = Now() + call_link::kQuietTime;
+  mLink->CheckSilence(probed);
+  auto const reply = wire::EncodeFrame(EncodeCallFrame(link_probe{ true }));
+  asio::write(mAccepted.front(), asio::buffer(reply));
+  auto const last = Open();
+  Settle();
+  mLink->CheckSilence(probed + call_link::kProbeTimeout);
+  Settle();
+  BOOST_TEST(stream->mEvents.empty());
+  BOOST_TEST(last->mEvents.empty());
+  mLink->Close();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
