LibTraffic: Count repeats against the calls of the window before, too

Chains of five calls end at their first ones, so that the service gets a third of the calls of before, and the allowance of repeats shrank with them, when they were needed most. The allowance now refers to the largest of three windows, as the users' bound does. Test: AFaultThatCutsCallChainsShortDoesNotShrinkTheAllowance (9 repeats before, 31 now).

--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -119,11 +119,9 @@
 retry_ratio::bucket&
 retry_ratio::At(core::time_point aNow)
 {
-  auto const length =
-    mAllowance.mWindow.count() / static_cast<std::int64_t>(kBuckets);
+  auto const length = mAllowance.mWindow.count() / kBuckets;
   auto const number = aNow.time_since_epoch().count() / length;
-  auto& found = mBuckets.at(
-    static_cast<std::size_t>(number % static_cast<std::int64_t>(kBuckets)));
+  auto& found = mBuckets.at(static_cast<std::size_t>(number) % mBuckets.size());
   if (found.mNumber != number) {
     found = { number, 0, 0, {} };
   }
@@ -148,19 +146,35 @@
   bucket sum;
   sum.mNumber = At(aNow).mNumber;
   for (auto const& entry : mBuckets) {
-    if (entry.mNumber <= sum.mNumber - static_cast<std::int64_t>(kBuckets)) {
+    if (entry.mNumber <= sum.mNumber - kBuckets) {
       continue;
     }
-    sum.mCalls += entry.mCalls;
     sum.mForced += entry.mForced;
     for (std::size_t level = 0; level < entry.mLevels.size(); ++level) {
       sum.mLevels.at(level).mAsked += entry.mLevels.at(level).mAsked;
       sum.mLevels.at(level).mTaken += entry.mLevels.at(level).mTaken;
     }
   }
+  for (std::int64_t const ago : { std::int64_t{ 0 }, kBuckets / 2, kBuckets }) {
+    sum.mCalls = std::max(sum.mCalls, CallsOfWindow(sum.mNumber, ago));
+  }
   return sum;
 }
 
+std::uint32_t
+retry_ratio::CallsOfWindow(std::int64_t aPresent,
+                           std::int64_t aBucketsAgo) const
+{
+  std::uint32_t calls = 0;
+  auto const last = aPresent - aBucketsAgo;
+  for (auto const& entry : mBuckets) {
+    if (entry.mNumber > last - kBuckets && entry.mNumber <= last) {
+      calls += entry.mCalls;
+    }
+  }
+  return calls;
+}
+
 bool
 retry_ratio::Take(core::time_point aNow, std::uint32_t aLevel)
 {
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -75,7 +75,9 @@
 
 /// Repeats of one daemon at one pool, bounded as a share of its calls within a
 /// sliding window. All daemons together then stay within that share of all
-/// calls, without a message between them.
+/// calls, without a message between them. The calls of the window before count
+/// where they were more: a fault that ends call chains early takes away most of
+/// the calls, and the repeats that would carry the others through with them.
 class retry_ratio
 {
 public:
@@ -96,7 +98,8 @@
   bool Take(core::time_point aNow, std::uint32_t aLevel);
 
 private:
-  static constexpr std::size_t kBuckets = 20;
+  /// Buckets of one window.
+  static constexpr std::int64_t kBuckets = 20;
 
   /// Counts of one level.
   struct level_counts
@@ -120,9 +123,13 @@
   bucket& At(core::time_point aNow);
   /// Returns the sums over the window.
   bucket Sum(core::time_point aNow);
+  /// Returns the calls of the window that ended aBucketsAgo.
+  std::uint32_t CallsOfWindow(std::int64_t aPresent,
+                              std::int64_t aBucketsAgo) const;
 
   retry_allowance mAllowance;
-  std::array<bucket, kBuckets> mBuckets{};
+  /// Two windows.
+  std::array<bucket, static_cast<std::size_t>(2 * kBuckets)> mBuckets{};
 };
 
 /// How one attempt ended, and what is known about a further one.
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -134,18 +134,42 @@
 }
 
 // Guards against repeats that are saved up in quiet times and used in a burst.
-BOOST_AUTO_TEST_CASE(CallsBeforeTheWindowCountNoMore)
+BOOST_AUTO_TEST_CASE(CallsOfLongAgoCountNoMore)
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio({ 10 });
   for (int call = 0; call < 1000; ++call) {
     ratio.CountCall(kStart);
   }
-  auto const later = kStart + 2 * retry_allowance{}.mWindow;
+  auto const later = kStart + 3 * retry_allowance{}.mWindow;
   BOOST_TEST(ratio.Take(later, kHighest));
   BOOST_TEST(!ratio.Take(later, kHighest));
 }
 
+// Guards against an outage that takes away the calls by which repeats are
+// counted: chains of five calls of which the first ones fail make a third of
+// the calls that they made before.
+BOOST_AUTO_TEST_CASE(AFaultThatCutsCallChainsShortDoesNotShrinkTheAllowance)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  auto const window = retry_allowance{}.mWindow;
+  retry_ratio ratio({ 10 });
+  for (int call = 0; call < 300; ++call) {
+    ratio.CountCall(kStart);
+  }
+  auto const outage = kStart + window;
+  for (int call = 0; call < 100; ++call) {
+    ratio.CountCall(outage);
+  }
+  int taken = 0;
+  while (ratio.Take(outage, kHighest)) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 31);
+  // Repeats of one window count in the next as far as they lie in it.
+  BOOST_TEST(!ratio.Take(outage + window / 2, kHighest));
+}
+
 // Guards against catalogue reads that use up the repeats of orders.
 BOOST_AUTO_TEST_CASE(LowerLevelsLeaveAPartOfTheRepeats)
 {
@@ -197,7 +221,7 @@
   for (int call = 0; call < 1000; ++call) {
     ratio.CountCall(kStart);
   }
-  auto const later = kStart + std::chrono::seconds(3);
+  auto const later = kStart + std::chrono::seconds(5);
   BOOST_TEST(ratio.Take(later, kHighest));
   BOOST_TEST(!ratio.Take(later, kHighest));
 }
