LibTraffic: Weigh bytes between regions by the size of a call

Each call weighed 60 ms, an upload of 60 KB as much as a lookup of 400 bytes, so that uploads and pages crossed for a gain of time far within their objective. The weight now grows with the mean bytes of the route, 40 ms for each KB. Test: LargeCallsStayInTheirRegion.

--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -21,8 +21,13 @@
 /// figures: 1 ms between zones, 20 ms between regions, one way.
 constexpr double kRegionRoundTrip = 2'000;
 constexpr double kBeyondRoundTrip = 40'000;
-/// Bytes between regions are billed; this much time is worth saving them.
+/// Bytes between regions are billed. Time in microseconds that is worth saving
+/// one call, and one byte, from crossing: at the users' prices a call of 4 KB
+/// that crosses costs a fifth of what an answered catalogue read is worth.
 constexpr double kBeyondBill = 60'000;
+constexpr double kBeyondBillPerByte = 40;
+/// Weight of one call in the mean bytes of its route.
+constexpr double kBytesWeight = 0.05;
 /// Random part of the cost, so that senders with the same knowledge do not all
 /// choose the same upstream.
 constexpr double kCostSpread = 0.2;
@@ -81,10 +86,10 @@
       found.mAccepting.end(), found.mAvoided.begin(), found.mAvoided.end());
   }
   if (!found.mAccepting.empty()) {
-    return Choose(aNow, found.mAccepting);
+    return Choose(aNow, aContext.mRoute, found.mAccepting);
   }
   if (found.mRefusing.empty() && !found.mAvoided.empty()) {
-    return Choose(aNow, found.mAvoided);
+    return Choose(aNow, aContext.mRoute, found.mAvoided);
   }
   return Refusal(!found.mRefusing.empty());
 }
@@ -139,6 +144,11 @@
     mDownstream[aReport.mRoute] = { aReport.mStamp->mDownstreamThreshold,
                                     aNow };
   }
+  if (aReport.mOutcome == outcome::kRan) {
+    auto& mean = mRouteBytes[aReport.mRoute];
+    auto const bytes = static_cast<double>(aReport.mBytes);
+    mean = mean == 0 ? bytes : mean + kBytesWeight * (bytes - mean);
+  }
   if (Distance(found->second.mCandidate) == kBeyond) {
     mInterRegionBytes += aReport.mBytes;
   }
@@ -257,10 +267,20 @@
   return { known > 0 ? services / known : 0, errors / std::max(count, 1.0) };
 }
 
+double
+upstream_selector::BillOf(std::string const& aRoute) const
+{
+  auto const bytes = mRouteBytes.find(aRoute);
+  return bytes == mRouteBytes.end()
+           ? kBeyondBill
+           : kBeyondBill + kBeyondBillPerByte * bytes->second;
+}
+
 double
 upstream_selector::CostOf(core::time_point aNow,
                           upstream const& aUpstream,
-                          pool_average const& aAverage)
+                          pool_average const& aAverage,
+                          double aBill)
 {
   auto const step = static_cast<double>(mRandom.Below(kSpreadSteps));
   auto const spread = 1 + kCostSpread * step / kSpreadSteps;
@@ -272,19 +292,22 @@
     case kSameRegion:
       return cost + kRegionRoundTrip;
     default:
-      return cost + kBeyondRoundTrip + kBeyondBill;
+      return cost + kBeyondRoundTrip + aBill;
   }
 }
 
 chosen_upstream
-upstream_selector::Choose(core::time_point aNow, upstreams const& aFrom)
+upstream_selector::Choose(core::time_point aNow,
+                          std::string const& aRoute,
+                          upstreams const& aFrom)
 {
   auto* picked = aFrom.at(mRandom.Below(aFrom.size()));
   if (mMechanisms.mLeastCost) {
     auto const average = Average(aNow);
+    auto const bill = BillOf(aRoute);
     auto least = std::numeric_limits<double>::max();
     for (auto* const entry : aFrom) {
-      auto const cost = CostOf(aNow, *entry, average);
+      auto const cost = CostOf(aNow, *entry, average, bill);
       if (cost < least) {
         least = cost;
         picked = entry;
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -149,11 +149,17 @@
   choice SortAll(core::time_point aNow,
                  call_context const& aContext,
                  std::vector<core::instance_id> const& aTried);
-  chosen_upstream Choose(core::time_point aNow, upstreams const& aFrom);
+  chosen_upstream Choose(core::time_point aNow,
+                         std::string const& aRoute,
+                         upstreams const& aFrom);
+  /// Returns the microseconds that a call of aRoute may take longer before it
+  /// is better sent to another region.
+  double BillOf(std::string const& aRoute) const;
   pool_average Average(core::time_point aNow) const;
   double CostOf(core::time_point aNow,
                 upstream const& aUpstream,
-                pool_average const& aAverage);
+                pool_average const& aAverage,
+                double aBill);
   local_refusal Refusal(bool aRefusing) const;
 
   location mHere;
@@ -166,6 +172,8 @@
   std::map<core::instance_id, std::uint32_t> mLeftInFlight;
   /// By route, from the last stamp of any upstream.
   std::map<std::string, told_threshold> mDownstream;
+  /// Mean bytes of recent calls, by route.
+  std::map<std::string, double> mRouteBytes;
   std::uint64_t mInterRegionBytes = 0;
 };
 
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -57,7 +57,7 @@
                        aReason,
                        std::chrono::milliseconds(5),
                        aStamp,
-                       1000 });
+                       mBytes });
   }
 
   /// Selects the upstream and reports the end of the attempt.
@@ -82,6 +82,8 @@
   std::vector<candidate> mCandidates;
   call_context mContext;
   core::time_point mNow = kStart;
+  /// Of each attempt.
+  std::uint64_t mBytes = 1000;
 };
 
 load_stamp
@@ -108,6 +110,29 @@
   BOOST_TEST(run.mSelector.InFlight() == 0U);
 }
 
+// Guards against uploads that cross regions for a gain of time that does not
+// matter, while small calls may still go to a faster upstream there.
+BOOST_AUTO_TEST_CASE(LargeCallsStayInTheirRegion)
+{
+  constexpr std::uint32_t kSlow = 350'000;
+  constexpr std::uint32_t kFast = 100'000;
+  for (std::uint64_t const bytes : { 200U, 60'000U }) {
+    fixture run;
+    auto const learn = [&](std::string const& aName, std::uint32_t aService) {
+      load_stamp const stamp{ 0, 10, 0, false, aService };
+      for (int count = 0; count < 20; ++count) {
+        run.mBytes = bytes;
+        run.Try(aName, outcome::kRan, std::nullopt, stamp);
+      }
+    };
+    learn("near", kSlow);
+    learn("middle", kSlow);
+    learn("far", kFast);
+    auto const* const expected = bytes == 200U ? "far" : "near";
+    BOOST_TEST(run.Select({ { "middle" } }) == expected);
+  }
+}
+
 // Guards against calls that are stuck with a failed or refusing neighbour.
 BOOST_AUTO_TEST_CASE(FailuresAndRefusalsSpillOver)
 {
