LibDaemon: Ask the upstream for its state when the daemon starts

The daemon now asks the health endpoint, which names the process and, by its load, the slots. It asks ten times at most and stops at the first report. An upstream that is leaving answers 503 and waits for its report as before. Tests: HealthNamesProcessAndSlots, ReportsFollowAnAnswerOfTheHealthEndpoint.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -31,6 +31,9 @@
 /// Time for the last announcement and responses to leave the process.
 constexpr auto kFarewellTime = 100ms;
 constexpr unsigned kHealthy = 200;
+/// Ten questions cover the time until the first report of the upstream.
+constexpr int kMostHealthQuestions = 10;
+constexpr auto kHealthQuestionInterval = 100ms;
 
 std::uint64_t
 SeedFor(daemon_settings const& aSettings)
@@ -318,6 +321,10 @@
         ApplyUpstreamFacts();
       }
     });
+    if (mExtension.mReadHealth) {
+      asio::co_spawn(
+        mContext, [this] { return FindUpstream(); }, asio::detached);
+    }
   } else if (mSettings.HasUpstream()) {
     asio::co_spawn(
       mContext, [this] { return WatchUpstream(); }, asio::detached);
@@ -457,6 +464,47 @@
   }
 }
 
+std::string
+mesh_daemon::OwnHealthPath() const
+{
+  auto const view = mPolicy.View();
+  for (auto const& [name, row] : view->Tables().mPools) {
+    if (row.mService == mSettings.mUpstream.mService) {
+      return row.mHealthPath;
+    }
+  }
+  return {};
+}
+
+task<void>
+mesh_daemon::FindUpstream()
+{
+  asio::steady_timer pause(mContext);
+  for (int asked = 0; asked < kMostHealthQuestions;) {
+    pause.expires_after(kHealthQuestionInterval);
+    co_await pause.async_wait(kAsTuple);
+    if (mIsStopped || !mUpstream.Facts().mId.IsEmpty()) {
+      co_return;
+    }
+    auto const path = OwnHealthPath();
+    if (path.empty()) {
+      continue;
+    }
+    ++asked;
+    auto const response =
+      co_await AskHealth(mSettings.mUpstream.mAddress, path);
+    // The upstream may have reported while it was asked.
+    if (!response || !mUpstream.Facts().mId.IsEmpty()) {
+      continue;
+    }
+    if (auto report = mExtension.mReadHealth(*response)) {
+      report->mAddress = mSettings.mUpstream.mAddress;
+      report->mService = mSettings.mUpstream.mService;
+      ReportUpstream(*report);
+    }
+  }
+}
+
 void
 mesh_daemon::OnUpstreamHealth(unsigned aStatus)
 {
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -56,6 +56,13 @@
   /// Takes over what may change while the daemon runs: the seeds.
   void ReloadSettings();
   task<void> WatchUpstream();
+  /// Asks the upstream for its state until it has reported or answered. A
+  /// daemon that starts beside a running upstream would otherwise leave it idle
+  /// until its next report, 1.5 s later at the users' sites.
+  task<void> FindUpstream();
+  /// Returns the health path that the tables give the own service; empty when
+  /// they are not known yet.
+  std::string OwnHealthPath() const;
   task<void> WatchSignals();
   task<void> WaitUntilIdle();
   void OnUpstreamHealth(unsigned aStatus);
--- a/Libraries/LibDaemon/Extension.h
+++ b/Libraries/LibDaemon/Extension.h
@@ -61,6 +61,12 @@
   http_dialect mDialect = DefaultDialect();
   /// Makes the handler of one daemon; none means the own interface only.
   std::function<admin_handler(daemon_operations)> mMakeAdminHandler;
+  /// Reads what the upstream tells in the answer of its health endpoint;
+  /// nothing when it takes no work or does not tell enough. None means that the
+  /// daemon waits for the upstream's own report.
+  std::function<std::optional<membership::upstream_report>(
+    http::response const&)>
+    mReadHealth;
   /// Reads the settings anew; none means that they never change.
   std::function<core::result<daemon_settings>()> mLoadSettings;
 };
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -110,14 +110,25 @@
   co_return connection != nullptr;
 }
 
-task<unsigned>
-CheckHealth(core::address aUpstream, std::string aPath)
+task<std::optional<http::response>>
+AskHealth(core::address aUpstream, std::string aPath)
 {
   http::request request;
   request.mHead.mTarget = std::move(aPath);
   request.mHead.mHeaders = { { "connection", "close" } };
   auto const response =
     co_await http::SendRequest(aUpstream, request, kHealthTimeout);
+  if (!response) {
+    co_return std::nullopt;
+  }
+  co_return *response;
+}
+
+task<unsigned>
+CheckHealth(core::address aUpstream, std::string aPath)
+{
+  auto const response =
+    co_await AskHealth(std::move(aUpstream), std::move(aPath));
   co_return response ? response->mHead.mStatus : 0U;
 }
 
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDaemon/Asio.h"
+#include "LibHttp/Message.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -56,8 +57,12 @@
 task<bool>
 IsListening(asio::any_io_executor aExecutor, core::address aUpstream);
 
-/// Asks the upstream's health endpoint once. Returns the HTTP status, or 0
-/// when it cannot be reached.
+/// Asks the upstream's health endpoint once. Nothing when it cannot be reached.
+task<std::optional<http::response>>
+AskHealth(core::address aUpstream, std::string aPath);
+
+/// Returns the HTTP status of the health endpoint, or 0 when it cannot be
+/// reached.
 task<unsigned>
 CheckHealth(core::address aUpstream, std::string aPath);
 
--- a/Tests/LibMembership/TestUpstreamTracker.cpp
+++ b/Tests/LibMembership/TestUpstreamTracker.cpp
@@ -57,6 +57,18 @@
   BOOST_TEST(mTracker.Facts().mId.mValue == "b");
 }
 
+// Guards against an upstream whose reports are ignored after the daemon has
+// learned of it by its health endpoint, which tells neither start nor sequence.
+BOOST_AUTO_TEST_CASE(ReportsFollowAnAnswerOfTheHealthEndpoint)
+{
+  Take(Report("a", 0, 0));
+  auto draining = Report("a", 100, 7);
+  draining.mLifecycle = lifecycle_state::kDraining;
+  BOOST_TEST((Take(draining) == report_outcome::kAccepted));
+  BOOST_TEST((mTracker.Facts().mLifecycle == lifecycle_state::kDraining));
+  BOOST_TEST((Take(Report("a", 100, 6)) == report_outcome::kOutdated));
+}
+
 // Guards against a late "ready" that undoes a drain.
 BOOST_AUTO_TEST_CASE(LateReportDoesNotUndoADrain)
 {
--- a/Tests/Platform/TestReports.cpp
+++ b/Tests/Platform/TestReports.cpp
@@ -80,6 +80,27 @@
   BOOST_TEST(!dialect.mReadResponse(500, Fields({})).mIsNotRun);
 }
 
+// Guards against a daemon that sends work to an upstream that is leaving, or of
+// which it does not know the process, after its own restart.
+BOOST_AUTO_TEST_CASE(HealthNamesProcessAndSlots)
+{
+  auto const decode = [](unsigned aStatus, http::header_list aHeaders) {
+    return platform::DecodeHealth({ { aStatus, std::move(aHeaders) }, {} });
+  };
+  auto const report =
+    decode(200, { { "instance-id", "i-7f" }, { "server-load", "3,0,8" } });
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report->mId.mValue == "i-7f");
+  BOOST_TEST(report->mSlots == 8U);
+  BOOST_TEST(report->mSequence == 0U);
+  BOOST_TEST(
+    !decode(503, { { "instance-id", "i-7f" }, { "server-load", "3,0,8" } }));
+  BOOST_TEST(!decode(200, { { "server-load", "3,0,8" } }));
+  BOOST_TEST(!decode(200, { { "instance-id", "i-7f" } }));
+  BOOST_TEST(
+    !decode(200, { { "instance-id", "i-7f" }, { "server-load", "3,0,x" } }));
+}
+
 // Guards against bytes of a faulty upstream that are passed on as a success.
 BOOST_AUTO_TEST_CASE(SuccessWithoutStampIsDamaged)
 {
