--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -14,12 +14,17 @@
 namespace {
 
 constexpr core::duration kCompareInterval = std::chrono::seconds(1);
+/// The same while there are no tables: every caller is turned away meanwhile,
+/// and after a loss of power of all instances, no peer may have any at first.
+constexpr core::duration kBareCompareInterval = std::chrono::milliseconds(100);
+constexpr core::duration kBareRequestTimeout = std::chrono::milliseconds(300);
 /// Time after which an unanswered request may be made again.
 constexpr core::duration kRequestTimeout = std::chrono::seconds(1);
 /// Deltas kept for peers that are behind: at 5,000 edits a day, they bridge a
 /// partition of more than two hours.
 constexpr std::size_t kHistoryLength = 512;
-/// Peers asked at the start, so that a lost datagram does not cost a second.
+/// Peers asked at once while there are no tables, so that a lost datagram or
+/// peers without tables do not cost time.
 constexpr std::size_t kStartPeers = 3;
 
 }
@@ -49,6 +54,12 @@
   return mHeardPeer && mRevision >= mHighestHeard;
 }
 
+core::duration
+configuration_distributor::CompareInterval() const
+{
+  return IsBare() ? kBareCompareInterval : kCompareInterval;
+}
+
 void
 configuration_distributor::On(tick const& /*aEvent*/)
 {
@@ -57,11 +68,11 @@
   }
   if (!mNextCompare) {
     auto const phase =
-      mRandom.Below(static_cast<std::uint64_t>(kCompareInterval.count()));
+      mRandom.Below(static_cast<std::uint64_t>(CompareInterval().count()));
     mNextCompare = mNow + core::duration(static_cast<std::int64_t>(phase));
   }
   if (mNow >= *mNextCompare) {
-    mNextCompare = std::max(*mNextCompare + kCompareInterval, mNow);
+    mNextCompare = std::max(*mNextCompare + CompareInterval(), mNow);
     Compare();
   }
 }
@@ -285,7 +296,8 @@
 void
 configuration_distributor::Compare()
 {
-  auto targets = detail::PickRandom(mPeers.mZonePeers, 1, mRandom);
+  auto targets =
+    detail::PickRandom(mPeers.mZonePeers, IsBare() ? kStartPeers : 1, mRandom);
   if (IsRelay() || mPeers.mZonePeers.empty()) {
     auto const remote = detail::PickRandom(mPeers.mRemoteRelays, 1, mRandom);
     targets.insert(targets.end(), remote.begin(), remote.end());
@@ -301,7 +313,7 @@
   if (mNow < mRequestExpires) {
     return;
   }
-  mRequestExpires = mNow + kRequestTimeout;
+  mRequestExpires = mNow + (IsBare() ? kBareRequestTimeout : kRequestTimeout);
   Send(aPeer.mAddress, configuration_request{ mRevision, mNeedsSnapshot });
 }
 
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -100,6 +100,9 @@
   std::vector<table_delta> DeltasAfter(core::revision aRevision) const;
   void CheckSameContent(core::revision aRevision, std::uint64_t aHash) const;
 
+  /// Whether no tables are known yet.
+  bool IsBare() const { return mRevision == core::revision{}; }
+  core::duration CompareInterval() const;
   void Compare();
   void RequestFrom(contact const& aPeer);
   void PushToRelays(core::revision aBefore);
--- a/Tests/LibMembership/TestConfigurationDistributor.cpp
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -69,6 +69,30 @@
 
 BOOST_AUTO_TEST_SUITE(Distribution)
 
+// Guards against a second without service after a loss of power of all
+// instances: the peers asked at the start have no tables either.
+BOOST_AUTO_TEST_CASE(DaemonsWithoutTablesAskOften)
+{
+  auto distributor = Distributor();
+  peer_set peers;
+  for (auto const* const name : { "a", "b", "c", "d", "e" }) {
+    peers.mZonePeers.push_back({ { name }, { name, 7000 } });
+  }
+  distributor.Handle(kStart, peers_changed{ peers });
+  auto const countDigests = [&](core::time_point aFrom) {
+    int digests = 0;
+    for (auto now = aFrom; now < aFrom + 500ms; now += 50ms) {
+      for (auto const& action : distributor.Handle(now, tick{})) {
+        digests += FirstSent<configuration_digest>({ action }) ? 1 : 0;
+      }
+    }
+    return digests;
+  };
+  BOOST_TEST(countDigests(kStart + 50ms) >= 12);
+  distributor.Handle(kStart + 600ms, From("a", Snapshot(5)));
+  BOOST_TEST(countDigests(kStart + 650ms) <= 1);
+}
+
 // Guards against a revision in force that goes back after a restart of a peer.
 BOOST_AUTO_TEST_CASE(OlderSnapshotIsIgnored)
 {
