--- a/Libraries/LibCore/Reasons.cpp
+++ b/Libraries/LibCore/Reasons.cpp
@@ -27,6 +27,7 @@
   { "claim_held", "The key was claimed before; it is not run again." },
   { "quarantined", "The request crashed upstreams before." },
   { "too_deep", "The call chain is deeper than the limit." },
+  { "caller_left", "The caller closed its connection before the answer." },
   { "too_many_connections", "The listener is at its connection limit." },
   { "malformed", "A peer sent bytes that are not a valid frame." },
   { "internal", "A fault inside the daemon." },
--- a/Libraries/LibCore/Reasons.h
+++ b/Libraries/LibCore/Reasons.h
@@ -31,6 +31,7 @@
   kClaimHeld,
   kQuarantined,
   kTooDeep,
+  kCallerLeft,
   kTooManyConnections,
   kMalformed,
   kInternal,
--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -271,7 +271,9 @@
   auto const deadline = mRequest.mContext.mDeadline;
   for (;;) {
     if (mIsAbandoned || mBody.IsBroken()) {
-      co_return Stopped(*aStream, refusal_reason::kBadRequest, hasAnswer);
+      auto const reason = mIsAbandoned ? refusal_reason::kCallerLeft
+                                       : refusal_reason::kBadRequest;
+      co_return Stopped(*aStream, reason, hasAnswer);
     }
     auto const end = aStream->WasSent() ? deadline + kVerdictTime : deadline;
     if (Now() >= end) {
@@ -297,14 +299,14 @@
       mLastStatus = head->mStatus;
       mLastStamp = head->mStamp;
       if (!co_await mSink.mWriteHead(*head, aChosen.mInstance)) {
-        co_return Stopped(*aStream, refusal_reason::kBadRequest, true);
+        co_return Stopped(*aStream, refusal_reason::kCallerLeft, true);
       }
       if (!head->mHasBody) {
         co_return call_result{ true, true, {} };
       }
     } else if (auto const* const chunk = std::get_if<answer_chunk>(&event)) {
       if (!co_await ForwardChunk(aLink, *aStream, *chunk)) {
-        co_return Stopped(*aStream, refusal_reason::kBadRequest, true);
+        co_return Stopped(*aStream, refusal_reason::kCallerLeft, true);
       }
       if (chunk->mLast) {
         co_return call_result{ true, true, {} };
--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -77,6 +77,10 @@
     mStamped = aNow;
     mInFlightAtStamp = mInFlight;
   }
+  // The caller ended the attempt, which says nothing about the upstream.
+  if (aReport.mReason == refusal_reason::kCallerLeft) {
+    return;
+  }
   bool const wasTried =
     aReport.mOutcome == outcome::kRan || IsUpstreamError(aReport);
   if (wasTried) {
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -146,6 +146,16 @@
   BOOST_TEST(run.Select() == "near");
 }
 
+// Guards against sound upstreams that are avoided while many callers leave
+// early, as their attempts end without an answer.
+BOOST_AUTO_TEST_CASE(CallersWhoLeaveDoNotCountAgainstTheUpstream)
+{
+  fixture run;
+  run.Try("near", outcome::kUnknown, refusal_reason::kCallerLeft);
+  BOOST_TEST(run.Select() == "near");
+  run.Report("near", outcome::kUnknown, refusal_reason::kCallerLeft);
+}
+
 // Guards against leaving the scope that the pool row sets.
 BOOST_AUTO_TEST_CASE(SpillScopeIsKept)
 {
