Tests/RandomRun: Use seed 2 to show that refutation is needed

Seed 2 shows the violation that the test names (a healthy member seen as dead), as do seeds 3 to 6; the check and the text are unchanged, and the run with refutation holds for it.

--- a/Tests/RandomRun/TestMembershipRun.cpp
+++ b/Tests/RandomRun/TestMembershipRun.cpp
@@ -58,7 +58,7 @@
 
 std::array<mechanism_seed, 6> const kMechanismSeeds{ {
   { "anti_entropy", 1, "holds revision" },
-  { "refutation", 1, "as dead" },
+  { "refutation", 2, "as dead" },
   { "seed_rejoin", 7, "but all see something else" },
   { "drain_push", 9, "does not know" },
   { "member_sync", 1, "after the faults stopped" },
