--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -88,6 +88,8 @@
       boost::log::sinks::synchronized_feeding>
 {
 public:
+  // Boost.Log calls it by this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   void consume(boost::log::record_view const&, string_type const& aLine)
   {
     if (!HasRoom()) {
