--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -171,19 +171,20 @@
 
 log_line::log_line(log_level aLevel, std::string_view aEvent)
   : mLevel(aLevel)
-  , mEvent(aEvent)
-  , mText("event=" + std::string(aEvent))
+  , mDropped(Limiter().Take(std::string(aEvent)))
 {
+  if (mDropped >= 0) {
+    mText = "event=" + std::string(aEvent);
+  }
 }
 
 log_line::~log_line()
 {
-  auto const dropped = Limiter().Take(mEvent);
-  if (dropped < 0) {
+  if (mDropped < 0) {
     return;
   }
-  if (dropped > 0) {
-    Field("dropped_lines", dropped);
+  if (mDropped > 0) {
+    Field("dropped_lines", mDropped);
   }
   BOOST_LOG_STREAM_WITH_PARAMS(
     boost::log::trivial::logger::get(),
@@ -194,6 +195,9 @@
 log_line&
 log_line::Field(std::string_view aKey, std::string_view aValue)
 {
+  if (mDropped < 0) {
+    return *this;
+  }
   mText += ' ';
   mText += aKey;
   mText += '=';
@@ -204,7 +208,7 @@
 log_line&
 log_line::Field(std::string_view aKey, std::int64_t aValue)
 {
-  return Field(aKey, std::to_string(aValue));
+  return mDropped < 0 ? *this : Field(aKey, std::to_string(aValue));
 }
 
 }
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -38,7 +38,9 @@
 
 private:
   log_level mLevel;
-  std::string mEvent;
+  /// Lines of the event that were dropped before this one; -1 when this one is
+  /// dropped, too, so that nothing is spent on its text.
+  std::int64_t mDropped;
   std::string mText;
 };
 
--- a/Libraries/LibDaemon/CallFrames.h
+++ b/Libraries/LibDaemon/CallFrames.h
@@ -163,8 +163,6 @@
 /// side sends it back.
 struct link_probe
 {
-  bool mIsReply = false;
-
   bool operator==(link_probe const&) const = default;
 };
 
--- a/Libraries/LibDaemon/CallFramesCodec.h
+++ b/Libraries/LibDaemon/CallFramesCodec.h
@@ -143,9 +143,8 @@
 
 template<class Archive>
 void
-serialize(Archive& aArchive, link_probe& aFrame)
+serialize(Archive& /*aArchive*/, link_probe& /*aFrame*/)
 {
-  aArchive(aFrame.mIsReply);
 }
 
 }
--- a/Libraries/LibDaemon/CallServer.cpp
+++ b/Libraries/LibDaemon/CallServer.cpp
@@ -108,7 +108,7 @@
       return true;
     }
     if (std::holds_alternative<link_probe>(aFrame)) {
-      mChannel->Send(link_probe{ true });
+      mChannel->Send(link_probe{});
       return true;
     }
     if (auto* const envelope = std::get_if<control_frame>(&aFrame)) {
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -259,11 +259,14 @@
 void
 control_plane::LogMemberChanges()
 {
-  std::map<core::instance_id, std::string> states;
+  auto const format = [](logged_state const& aState) {
+    return std::string(membership::MemberStateName(aState.mState)) + "/" +
+           std::string(membership::LifecycleStateName(aState.mLifecycle));
+  };
+  std::map<core::instance_id, logged_state> states;
   for (auto const& member : mDirectory.Members()) {
     auto const& told = member.mAnnouncement;
-    auto state = std::string(membership::MemberStateName(member.mState)) + "/" +
-                 std::string(membership::LifecycleStateName(told.mLifecycle));
+    logged_state const state{ member.mState, told.mLifecycle };
     auto const before = mLoggedStates.find(told.mInstance);
     bool const isKnown = before != mLoggedStates.end();
     if (!isKnown || before->second != state) {
@@ -271,12 +274,12 @@
         .Field("member", told.mInstance.mValue)
         .Field("zone", told.mZone.mValue)
         .Field("service", told.mService.mValue)
-        .Field("from", isKnown ? before->second : "unknown")
-        .Field("to", state)
+        .Field("from", isKnown ? format(before->second) : "unknown")
+        .Field("to", format(state))
         .Field("incarnation",
                static_cast<std::int64_t>(told.mIncarnation.mValue));
     }
-    states.emplace(told.mInstance, std::move(state));
+    states.emplace(told.mInstance, state);
   }
   mLoggedStates = std::move(states);
 }
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -95,8 +95,15 @@
   asio::steady_timer mTimer;
   control_transport mTransport;
   membership::member_directory mDirectory;
-  /// State and life cycle of each member, as last logged.
-  std::map<core::instance_id, std::string> mLoggedStates;
+  struct logged_state
+  {
+    membership::member_state mState;
+    membership::lifecycle_state mLifecycle;
+
+    bool operator==(logged_state const&) const = default;
+  };
+
+  std::map<core::instance_id, logged_state> mLoggedStates;
   membership::configuration_distributor mDistributor;
   std::unique_ptr<replica_host> mReplica;
   claim_map_keeper mClaimMapKeeper;
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -339,7 +339,7 @@
     }
     Outgoing().mMetrics.CountResponse(
       mClass, mAnswer->result_int(), mAnswered - mStarted);
-    LogAnswer(result);
+    LogAnswer(context.mRequest, result);
     // A truncated answer must not look whole: the connection ends before the
     // announced length or the last chunk.
     co_return result.mIsComplete&& bodyWasRead && mAnswer->keep_alive();
@@ -512,12 +512,12 @@
       .Field("age_ms", core::Milliseconds(Now() - mStarted));
   }
 
-  void LogAnswer(call_result const& aResult) const
+  void LogAnswer(core::request_id const& aRequest,
+                 call_result const& aResult) const
   {
-    auto const facts = mServices.mDialect.mReadCaller(mParser->get());
     auto line = core::LogInfo(aResult.mIsComplete ? "request_answered"
                                                   : "request_cut_off");
-    line.Field("request", facts.mRequest.mValue)
+    line.Field("request", aRequest.mValue)
       .Field("nested", mIsNested ? "yes" : "no")
       .Field("status", mAnswer->result_int())
       .Field("answered_ms", core::Milliseconds(mAnswered - mStarted))
--- a/Tests/LibDaemon/TestCallLink.cpp
+++ b/Tests/LibDaemon/TestCallLink.cpp
@@ -1,6 +1,7 @@
 #include "LibDaemon/CallLink.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/write.hpp>
@@ -54,6 +55,17 @@
     }
   }
 
+  /// Opens a stream and lets the link probe its peer. Returns the stream and
+  /// when the probe was sent.
+  std::pair<std::shared_ptr<outgoing_stream>, core::time_point> Probe()
+  {
+    auto const stream = Open();
+    RunUntil([&] { return stream->WasSent() && !mAccepted.empty(); });
+    auto const probed = Now() + call_link::kQuietTime;
+    mLink->CheckSilence(probed);
+    return { stream, probed };
+  }
+
   /// Runs all events that need no further ones from outside.
   void Settle()
   {
@@ -138,13 +150,10 @@
 // silent without a reset: each would wait for its deadline.
 BOOST_AUTO_TEST_CASE(AConnectionThatAnswersNoProbeIsGivenUp)
 {
-  auto const stream = Open();
-  RunUntil([&] { return stream->WasSent() && !mAccepted.empty(); });
-  auto const probed = Now() + call_link::kQuietTime;
-  mLink->CheckSilence(probed);
+  auto const [stream, probed] = Probe();
   BOOST_TEST(stream->mEvents.empty());
   mLink->CheckSilence(probed + call_link::kProbeTimeout);
-  RunUntil([&] { return !stream->mEvents.empty(); });
+  RunUntil([&events = stream->mEvents] { return !events.empty(); });
   BOOST_TEST((RefusalOf(*stream).mOutcome == traffic::outcome::kUnknown));
   BOOST_TEST((RefusalOf(*stream).mReason == core::refusal_reason::kPeerLost));
   auto const next = Open();
@@ -156,11 +165,8 @@
 // probe shows that it carries bytes.
 BOOST_AUTO_TEST_CASE(AnAnsweredProbeKeepsTheConnection)
 {
-  auto const stream = Open();
-  RunUntil([&] { return stream->WasSent() && !mAccepted.empty(); });
-  auto const probed = Now() + call_link::kQuietTime;
-  mLink->CheckSilence(probed);
-  auto const reply = wire::EncodeFrame(EncodeCallFrame(link_probe{ true }));
+  auto const [stream, probed] = Probe();
+  auto const reply = wire::EncodeFrame(EncodeCallFrame(link_probe{}));
   asio::write(mAccepted.front(), asio::buffer(reply));
   auto const last = Open();
   Settle();
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -40,6 +40,14 @@
   return facts;
 }
 
+void
+CountCalls(retry_ratio& aRatio, core::time_point aNow, int aCount)
+{
+  for (int call = 0; call < aCount; ++call) {
+    aRatio.CountCall(aNow);
+  }
+}
+
 std::optional<retry_decision>
 Decide(retry_facts const& aFacts)
 {
@@ -120,9 +128,7 @@
   retry_ratio ratio({ 10 });
   BOOST_TEST(ratio.Take(kStart, kHighest));
   BOOST_TEST(!ratio.Take(kStart, kHighest));
-  for (int call = 0; call < 100; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 100);
   int taken = 0;
   while (ratio.Take(kStart, kHighest)) {
     ++taken;
@@ -138,9 +144,7 @@
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio({ 10 });
-  for (int call = 0; call < 1000; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 1000);
   auto const later = kStart + 3 * retry_allowance{}.mWindow;
   BOOST_TEST(ratio.Take(later, kHighest));
   BOOST_TEST(!ratio.Take(later, kHighest));
@@ -154,13 +158,9 @@
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   auto const window = retry_allowance{}.mWindow;
   retry_ratio ratio({ 10 });
-  for (int call = 0; call < 300; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 300);
   auto const outage = kStart + window;
-  for (int call = 0; call < 100; ++call) {
-    ratio.CountCall(outage);
-  }
+  CountCalls(ratio, outage, 100);
   int taken = 0;
   while (ratio.Take(outage, kHighest)) {
     ++taken;
@@ -175,9 +175,7 @@
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio({ 10 });
-  for (int call = 0; call < 100; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 100);
   int taken = 0;
   while (ratio.Take(kStart, 0)) {
     ++taken;
@@ -192,9 +190,7 @@
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio({ 10 });
-  for (int call = 0; call < 100; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 100);
   for (int asked = 0; asked < 9; ++asked) {
     BOOST_TEST(ratio.Take(kStart, kHighest));
   }
@@ -203,9 +199,7 @@
   BOOST_TEST(ratio.Take(kStart, 0));
   BOOST_TEST(!ratio.Take(kStart, 0));
   auto const later = kStart + retry_allowance{}.mWindow / 2;
-  for (int call = 0; call < 100; ++call) {
-    ratio.CountCall(later);
-  }
+  CountCalls(ratio, later, 100);
   for (int asked = 0; asked < 12; ++asked) {
     ratio.Take(later, kHighest);
   }
@@ -218,9 +212,7 @@
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio({ 10, 1, std::chrono::seconds(2) });
-  for (int call = 0; call < 1000; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 1000);
   auto const later = kStart + std::chrono::seconds(5);
   BOOST_TEST(ratio.Take(later, kHighest));
   BOOST_TEST(!ratio.Take(later, kHighest));
@@ -232,9 +224,7 @@
 {
   constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
   retry_ratio ratio({ 10 });
-  for (int call = 0; call < 100; ++call) {
-    ratio.CountCall(kStart);
-  }
+  CountCalls(ratio, kStart, 100);
   for (int repeat = 0; repeat < 11; ++repeat) {
     ratio.CountRepeat(kStart);
   }
