LibDaemon: Read and log the condition that upstreams state in responses

The logs could not tell whether a limit of requests per second is unknown to the daemon beside the upstream, known too late, or forgotten by a restart: neither the limit nor the rate of admitted calls stood in them.

Responses are now read for both headers (own names in the product's dialect), event=upstream_condition_changed tells each change, and the digest line has the calls admitted since the last one and the limit. Nothing acts on it yet.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "LibTraffic/ClaimCodec.h"
 
 #include <csignal>
+#include <utility>
 
 namespace cranberryfold::daemon {
 
@@ -352,7 +353,10 @@
 mesh_daemon::LogRefusalCounts()
 {
   auto const counts = mMetrics.TakeNewCounts();
-  if (counts.empty()) {
+  auto const condition = mPolicy.Condition();
+  auto const admitted = mPolicy.AdmittedCalls();
+  auto const newlyAdmitted = admitted - std::exchange(mLoggedCalls, admitted);
+  if (counts.empty() && !condition.mRequestsPerSecond) {
     return;
   }
   auto line = core::LogInfo("refusals");
@@ -360,7 +364,9 @@
   line.Field("load", stamp.mInFlight)
     .Field("limit", stamp.mLimit)
     .Field("service_us", stamp.mServiceMicroseconds)
-    .Field("threshold", stamp.mAdmissionThreshold);
+    .Field("threshold", stamp.mAdmissionThreshold)
+    .Field("admitted", static_cast<std::int64_t>(newlyAdmitted))
+    .Field("request_limit", traffic::FormatRequestLimit(condition));
   for (auto const& [name, count] : counts) {
     line.Field(name, count);
   }
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -99,6 +99,8 @@
   std::vector<bound_listener> mListeners;
   /// The installed claim map in its encoded form.
   std::string mInstalledClaimMap;
+  /// Admitted calls at the last log line that counts refusals.
+  std::uint64_t mLoggedCalls = 0;
   bool mIsStopped = false;
 };
 
--- a/Libraries/LibDaemon/HttpDialect.cpp
+++ b/Libraries/LibDaemon/HttpDialect.cpp
@@ -60,6 +60,9 @@
   metadata.mIsNotRun =
     aStatus == kUnavailable &&
     FieldValue(aFields, header::kOutcome) == OutcomeName(outcome::kNotRun);
+  metadata.mCondition =
+    ParseCondition(FieldValue(aFields, header::kRequestLimit),
+                   FieldValue(aFields, header::kLeaving) == "yes");
   return metadata;
 }
 
--- a/Libraries/LibDaemon/HttpDialect.h
+++ b/Libraries/LibDaemon/HttpDialect.h
@@ -3,6 +3,7 @@
 #include "LibDaemon/CallFrames.h"
 #include "LibDaemon/TrafficPolicy.h"
 #include "LibMembership/UpstreamTracker.h"
+#include "LibTraffic/UpstreamCondition.h"
 
 #include <boost/beast/http/fields.hpp>
 
@@ -41,6 +42,9 @@
   core::request_id mRequest;
   /// How long the upstream keeps an idle connection open; empty if not sent.
   std::optional<core::duration> mKeepAlive;
+  /// Empty if the response does not tell the upstream's condition, for example
+  /// because it is malformed.
+  std::optional<traffic::upstream_condition> mCondition;
 };
 
 struct http_dialect
--- a/Libraries/LibDaemon/HttpFields.cpp
+++ b/Libraries/LibDaemon/HttpFields.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -79,6 +80,31 @@
   return ParseNumber<std::int64_t>(aText, kDecimal);
 }
 
+std::optional<double>
+ParseRate(std::string_view aText)
+{
+  double rate = 0;
+  auto const* const end = aText.data() + aText.size();
+  auto const [parsed, code] =
+    std::from_chars(aText.data(), end, rate, std::chars_format::fixed);
+  bool const isValid = code == std::errc{} && parsed == end &&
+                       std::isfinite(rate) && !std::signbit(rate);
+  return isValid ? std::optional(rate) : std::nullopt;
+}
+
+std::optional<traffic::upstream_condition>
+ParseCondition(std::string_view aRequestLimit, bool aIsLeaving)
+{
+  if (aRequestLimit.empty()) {
+    return traffic::upstream_condition{ std::nullopt, aIsLeaving };
+  }
+  auto const rate = ParseRate(aRequestLimit);
+  if (!rate && !aIsLeaving) {
+    return std::nullopt;
+  }
+  return traffic::upstream_condition{ rate, aIsLeaving };
+}
+
 std::vector<header_field>
 EndToEndHeaders(http::fields const& aFields,
                 std::function<bool(std::string_view)> const& aIsOwn)
--- a/Libraries/LibDaemon/HttpFields.h
+++ b/Libraries/LibDaemon/HttpFields.h
@@ -2,6 +2,7 @@
 
 #include "LibDaemon/CallFrames.h"
 #include "LibTraffic/CallContext.h"
+#include "LibTraffic/UpstreamCondition.h"
 
 #include <boost/beast/http/fields.hpp>
 
@@ -27,6 +28,11 @@
 inline constexpr std::string_view kOutcome = "x-cranberryfold-outcome";
 inline constexpr std::string_view kReason = "x-cranberryfold-reason";
 inline constexpr std::string_view kInstance = "x-cranberryfold-instance";
+/// Set by upstreams that accept a limited number of requests per second.
+inline constexpr std::string_view kRequestLimit =
+  "x-cranberryfold-requests-per-second";
+/// Set to "yes" by upstreams that are about to stop.
+inline constexpr std::string_view kLeaving = "x-cranberryfold-leaving";
 inline constexpr std::string_view kIdempotencyKey = "idempotency-key";
 /// Set by callers to distinguish customers behind one address.
 inline constexpr std::string_view kCallerId = "x-caller-id";
@@ -54,6 +60,16 @@
 std::optional<std::int64_t>
 ParseDecimal(std::string_view aText);
 
+/// Parses a decimal number that is finite and not negative. Returns
+/// std::nullopt for anything else.
+std::optional<double>
+ParseRate(std::string_view aText);
+
+/// Returns the condition of an upstream from the values of two headers, empty
+/// if they are missing. Returns std::nullopt if the limit cannot be parsed.
+std::optional<traffic::upstream_condition>
+ParseCondition(std::string_view aRequestLimit, bool aIsLeaving);
+
 /// Adds headers and keeps existing ones of the same name.
 void
 AppendHeaders(boost::beast::http::fields& aFields,
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -344,6 +344,9 @@
       continue;
     }
     mKeepAlive = metadata.mKeepAlive;
+    if (metadata.mCondition) {
+      mServices.mPolicy.RecordCondition(mUpstreamId, *metadata.mCondition);
+    }
     if (metadata.mIsMalformed) {
       co_return call_refusal{ outcome::kUnknown,
                               refusal_reason::kMalformed,
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -1,5 +1,7 @@
 #include "LibDaemon/TrafficPolicy.h"
 
+#include "LibCore/Log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -145,6 +147,7 @@
       RemoveLocalCall(call);
     } else {
       call = std::get<traffic::admit_call>(action).mCall;
+      ++mAdmittedCalls;
     }
     if (auto node = mPendingAdmissions.extract(call)) {
       callbacks.emplace_back(std::move(node.mapped()), decision);
@@ -328,12 +331,43 @@
       ConfigureAdmission(aNow);
     }
     if (IsUpstreamServing() && isNewProcess) {
+      mCondition = {};
       callbacks = Handle(aNow, traffic::upstream_restarted{});
     }
   }
   RunCallbacks(callbacks);
 }
 
+void
+traffic_policy::RecordCondition(membership::upstream_id const& aUpstream,
+                                traffic::upstream_condition const& aCondition)
+{
+  std::scoped_lock const lock(mMutex);
+  if (aUpstream != mUpstream.mId || aCondition == mCondition) {
+    return;
+  }
+  core::LogInfo("upstream_condition_changed")
+    .Field("upstream", aUpstream.mValue)
+    .Field("request_limit_before", FormatRequestLimit(mCondition))
+    .Field("request_limit", FormatRequestLimit(aCondition))
+    .Field("leaving", aCondition.mIsLeaving ? "yes" : "no");
+  mCondition = aCondition;
+}
+
+traffic::upstream_condition
+traffic_policy::Condition() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mCondition;
+}
+
+std::uint64_t
+traffic_policy::AdmittedCalls() const
+{
+  std::scoped_lock const lock(mMutex);
+  return mAdmittedCalls;
+}
+
 membership::upstream_id
 traffic_policy::UpstreamId() const
 {
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -10,6 +10,7 @@
 #include "LibTraffic/DownstreamDependency.h"
 #include "LibTraffic/LoadStatus.h"
 #include "LibTraffic/RetryBudget.h"
+#include "LibTraffic/UpstreamCondition.h"
 #include "LibTraffic/UpstreamSelection.h"
 #include "LibTraffic/WeightedPoolSelector.h"
 
@@ -81,6 +82,14 @@
   /// under another id, admission control treats it as restarted.
   void SetUpstream(core::time_point aNow,
                    membership::upstream_status const& aStatus);
+  /// Records what the process aUpstream of the local upstream states about
+  /// itself; ignored if another process serves now.
+  void RecordCondition(membership::upstream_id const& aUpstream,
+                       traffic::upstream_condition const& aCondition);
+  /// Returns the last recorded condition of the local upstream.
+  traffic::upstream_condition Condition() const;
+  /// Returns the number of calls that were admitted to the local upstream.
+  std::uint64_t AdmittedCalls() const;
   /// Returns the id of the upstream process that calls are meant for; empty if
   /// it is not known.
   membership::upstream_id UpstreamId() const;
@@ -196,6 +205,8 @@
   std::set<core::address> mSenders;
   traffic::weighted_pool_selector mPoolSelector;
   membership::upstream_status mUpstream;
+  traffic::upstream_condition mCondition;
+  std::uint64_t mAdmittedCalls = 0;
   bool mIsDraining = false;
   core::time_point mDrainStarted;
 };
--- a/Tests/Platform/TestReports.cpp
+++ b/Tests/Platform/TestReports.cpp
@@ -101,6 +101,39 @@
     !decode(200, { { "instance-id", "i-7f" }, { "server-load", "3,0,x" } }));
 }
 
+// Guards against a limit or a departure in a response that nobody reads.
+BOOST_AUTO_TEST_CASE(ConditionOfTheUpstreamIsRead)
+{
+  auto const dialect = platform::MakeDialect();
+  auto const read = [&](auto aFields) {
+    return dialect.mReadResponse(200, Fields(aFields)).mCondition;
+  };
+  using fields = std::initializer_list<std::pair<char const*, char const*>>;
+  using traffic::upstream_condition;
+  BOOST_TEST((read(fields{ { "Server-Limit", "32.5" } }) ==
+              upstream_condition{ 32.5, false }));
+  BOOST_TEST((read(fields{ { "Server-Leaving", "1" } }) ==
+              upstream_condition{ std::nullopt, true }));
+  BOOST_TEST(
+    (read(fields{ { "Server-Leaving", "1" }, { "Server-Limit", "few" } }) ==
+     upstream_condition{ std::nullopt, true }));
+  BOOST_TEST((read(fields{ { "Response-Stamp", "x" } }) ==
+              upstream_condition{ std::nullopt, false }));
+}
+
+// Guards against damaged responses that lift a limit.
+BOOST_AUTO_TEST_CASE(DamagedResponsesTellNoCondition)
+{
+  auto const dialect = platform::MakeDialect();
+  BOOST_TEST(!dialect.mReadResponse(200, Fields({})).mCondition.has_value());
+  for (auto const* const limit : { "few", "-1", "nan", "inf", "3x", "1e3" }) {
+    auto const fields =
+      Fields({ { "Response-Stamp", "x" }, { "Server-Limit", limit } });
+    BOOST_TEST(!dialect.mReadResponse(200, fields).mCondition.has_value(),
+               limit);
+  }
+}
+
 // Guards against bytes of a faulty upstream that are passed on as a success.
 BOOST_AUTO_TEST_CASE(SuccessWithoutStampIsDamaged)
 {
