Tests: Reproduce requests beyond what an upstream's responses allow

The stand-in upstream can state a limit of requests per second, and on POST /leave that it is leaving while its health endpoint stays good.

--- a/Utilities/StandInUpstream/Main.cpp
+++ b/Utilities/StandInUpstream/Main.cpp
@@ -27,6 +27,7 @@
 DEFINE_uint32(load_lag_ms, 0, "The load endpoint lags by this much.");
 DEFINE_int32(false_load, -1, "Reported instead of the true number in flight.");
 DEFINE_string(false_health, "", "up or down: reported instead of the truth.");
+DEFINE_double(requests_per_second, -1, "Limit that responses state, if any.");
 DEFINE_bool(allow_crash, false, "Abort on the header x-stand-in-crash: yes.");
 DEFINE_string(egress, "", "Egress address of the daemon, for --calls.");
 DEFINE_string(calls, "", "Calls by path: \"/orders=GET /stock/item,...\".");
@@ -82,6 +83,9 @@
   if (FLAGS_false_load >= 0) {
     read.mFalseLoad = FLAGS_false_load;
   }
+  if (FLAGS_requests_per_second >= 0) {
+    read.mRequestsPerSecond = FLAGS_requests_per_second;
+  }
   read.mInstance = FLAGS_instance;
   read.mService = FLAGS_service;
   read.mSlots = FLAGS_slots;
--- a/Utilities/StandInUpstream/Service.cpp
+++ b/Utilities/StandInUpstream/Service.cpp
@@ -29,6 +29,8 @@
 constexpr std::string_view kOutcomeHeader = "x-cranberryfold-outcome";
 constexpr std::string_view kReasonHeader = "x-cranberryfold-reason";
 constexpr std::string_view kRequestIdHeader = "x-cranberryfold-request-id";
+constexpr std::string_view kLimitHeader = "x-cranberryfold-requests-per-second";
+constexpr std::string_view kLeavingHeader = "x-cranberryfold-leaving";
 constexpr std::string_view kKeyHeader = "idempotency-key";
 constexpr std::string_view kCrashHeader = "x-stand-in-crash";
 constexpr std::string_view kTruncateHeader = "x-stand-in-truncate";
@@ -95,6 +97,13 @@
   core::LogInfo("draining").Field("instance", mSettings.mInstance);
 }
 
+void
+service::Leave()
+{
+  mIsLeaving = true;
+  core::LogInfo("leaving").Field("instance", mSettings.mInstance);
+}
+
 bool
 service::IsIdle() const
 {
@@ -116,6 +125,10 @@
     Drain();
     auto const answer = JsonResponse(200, { { "draining", true } });
     co_await aExchange.Respond(answer);
+  } else if (path == "/leave" && head.mMethod == "POST") {
+    Leave();
+    auto const answer = JsonResponse(200, { { "leaving", true } });
+    co_await aExchange.Respond(answer);
   } else {
     co_await HandleWork(aExchange);
   }
@@ -302,6 +315,18 @@
   co_return report;
 }
 
+void
+service::AddCondition(http::header_list& aHeaders) const
+{
+  if (mSettings.mRequestsPerSecond) {
+    aHeaders.push_back({ std::string(kLimitHeader),
+                         std::to_string(*mSettings.mRequestsPerSecond) });
+  }
+  if (mIsLeaving) {
+    aHeaders.push_back({ std::string(kLeavingHeader), "yes" });
+  }
+}
+
 std::string
 service::DescribeItem(work_item const& aItem) const
 {
@@ -331,6 +356,7 @@
   auto const& head = aExchange.Head();
   auto const text = DescribeItem(aItem);
   http::response_head answer{ 200, { { "content-type", "application/json" } } };
+  AddCondition(answer.mHeaders);
   auto body = http::BodyOf(text);
   if (aItem.mHasFailedCall) {
     answer.mStatus = kStatusBadGateway;
--- a/Utilities/StandInUpstream/Service.h
+++ b/Utilities/StandInUpstream/Service.h
@@ -35,6 +35,10 @@
   /// Refuses new work from now on.
   void Drain();
 
+  /// States in further responses that this upstream is leaving. It still runs
+  /// work and reports good health.
+  void Leave();
+
   /// Whether no work is running or waiting.
   bool IsIdle() const;
 
@@ -63,6 +67,7 @@
                                       std::string_view aReason);
   http::response AnswerHealth() const;
   http::response AnswerLoad() const;
+  void AddCondition(http::header_list& aHeaders) const;
   std::string DescribeItem(work_item const& aItem) const;
   std::chrono::microseconds ServiceTime();
   void RecordLoad();
@@ -77,6 +82,7 @@
   std::chrono::steady_clock::time_point mStart;
   std::uint64_t mRuns = 0;
   bool mIsDraining = false;
+  bool mIsLeaving = false;
 };
 
 }
--- a/Utilities/StandInUpstream/Settings.h
+++ b/Utilities/StandInUpstream/Settings.h
@@ -53,6 +53,8 @@
   std::optional<std::uint32_t> mFalseLoad;
   /// Reported instead of the true health: "up", "down" or "" for the truth.
   std::string mFalseHealth;
+  /// Stated in responses; not enforced. Empty for no limit.
+  std::optional<double> mRequestsPerSecond;
   bool mAllowCrash = false;
   std::optional<core::address> mEgress;
   std::vector<further_call> mCalls;
