LibTraffic: Keep to the requests per second that an upstream states

Cause: admission knew slots only. The daemon beside the upstream passed every request of all callers, so it alone can keep the limit, but it did not read it.

A token bucket now paces admission to the stated rate, with a burst of 250 ms. Calls that would wait too long are refused at once as not run, so that they go where there is room; the load status expresses the limit by Little's law, so that senders of every version see the wait without a new field. The threshold measures against the stated rate while it is what binds: completions are too few to count. After a start of the daemon or the upstream, admission is paced to 10 calls a second until the first response tells the limit. A limit of 0 is tried every 4 s, since only a response tells its end.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -138,10 +138,13 @@
   mCall =
     mServices.mPolicy.RequestAdmission(mArrived, mHead.mContext, onDecision);
   while (!pending->mDecision && !mIsCancelled) {
-    auto const until =
+    auto const now = Now();
+    auto const end =
       std::min(mHead.mContext.mDeadline,
                mArrived + mServices.mPolicy.MaximumAdmissionWait());
-    co_await mSignal.Wait(std::max(until, Now() + kMinimumWait));
+    auto const until =
+      std::min(end, mServices.mPolicy.NextDispatch(now).value_or(end));
+    co_await mSignal.Wait(std::max(until, now + kMinimumWait));
     if (!pending->mDecision && Now() >= until) {
       mServices.mPolicy.Tick(Now());
     }
@@ -345,7 +348,8 @@
     }
     mKeepAlive = metadata.mKeepAlive;
     if (metadata.mCondition) {
-      mServices.mPolicy.RecordCondition(mUpstreamId, *metadata.mCondition);
+      mServices.mPolicy.RecordCondition(
+        Now(), mUpstreamId, *metadata.mCondition);
     }
     if (metadata.mIsMalformed) {
       co_return call_refusal{ outcome::kUnknown,
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -309,6 +309,13 @@
   RunCallbacks(callbacks);
 }
 
+std::optional<core::time_point>
+traffic_policy::NextDispatch(core::time_point aNow) const
+{
+  std::scoped_lock const lock(mMutex);
+  return mAdmission.NextDispatch(aNow);
+}
+
 core::duration
 traffic_policy::MaximumAdmissionWait() const
 {
@@ -331,7 +338,7 @@
       ConfigureAdmission(aNow);
     }
     if (IsUpstreamServing() && isNewProcess) {
-      mCondition = {};
+      mCondition.reset();
       callbacks = Handle(aNow, traffic::upstream_restarted{});
     }
   }
@@ -339,26 +346,36 @@
 }
 
 void
-traffic_policy::RecordCondition(membership::upstream_id const& aUpstream,
+traffic_policy::RecordCondition(core::time_point aNow,
+                                membership::upstream_id const& aUpstream,
                                 traffic::upstream_condition const& aCondition)
 {
-  std::scoped_lock const lock(mMutex);
-  if (aUpstream != mUpstream.mId || aCondition == mCondition) {
-    return;
+  pending_callbacks callbacks;
+  {
+    std::scoped_lock const lock(mMutex);
+    if (aUpstream != mUpstream.mId || mCondition == aCondition) {
+      return;
+    }
+    auto const before = mCondition.value_or(traffic::upstream_condition{});
+    mCondition = aCondition;
+    callbacks = Handle(
+      aNow, traffic::request_limit_stated{ aCondition.mRequestsPerSecond });
+    if (before != aCondition) {
+      core::LogInfo("upstream_condition_changed")
+        .Field("upstream", aUpstream.mValue)
+        .Field("request_limit_before", FormatRequestLimit(before))
+        .Field("request_limit", FormatRequestLimit(aCondition))
+        .Field("leaving", aCondition.mIsLeaving ? "yes" : "no");
+    }
   }
-  core::LogInfo("upstream_condition_changed")
-    .Field("upstream", aUpstream.mValue)
-    .Field("request_limit_before", FormatRequestLimit(mCondition))
-    .Field("request_limit", FormatRequestLimit(aCondition))
-    .Field("leaving", aCondition.mIsLeaving ? "yes" : "no");
-  mCondition = aCondition;
+  RunCallbacks(callbacks);
 }
 
 traffic::upstream_condition
 traffic_policy::Condition() const
 {
   std::scoped_lock const lock(mMutex);
-  return mCondition;
+  return mCondition.value_or(traffic::upstream_condition{});
 }
 
 std::uint64_t
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -77,14 +77,17 @@
   void Tick(core::time_point aNow);
   /// Returns the longest time that a call may wait for admission.
   core::duration MaximumAdmissionWait() const;
+  /// Returns when Tick() may admit a waiting call; empty if it cannot.
+  std::optional<core::time_point> NextDispatch(core::time_point aNow) const;
 
   /// Sets the status of the local upstream. If it starts to serve, or serves
   /// under another id, admission control treats it as restarted.
   void SetUpstream(core::time_point aNow,
                    membership::upstream_status const& aStatus);
-  /// Records what the process aUpstream of the local upstream states about
+  /// Applies what the process aUpstream of the local upstream states about
   /// itself; ignored if another process serves now.
-  void RecordCondition(membership::upstream_id const& aUpstream,
+  void RecordCondition(core::time_point aNow,
+                       membership::upstream_id const& aUpstream,
                        traffic::upstream_condition const& aCondition);
   /// Returns the last recorded condition of the local upstream.
   traffic::upstream_condition Condition() const;
@@ -205,7 +208,8 @@
   std::set<core::address> mSenders;
   traffic::weighted_pool_selector mPoolSelector;
   membership::upstream_status mUpstream;
-  traffic::upstream_condition mCondition;
+  /// Empty until the present process of the upstream has responded.
+  std::optional<traffic::upstream_condition> mCondition;
   std::uint64_t mAdmittedCalls = 0;
   bool mIsDraining = false;
   core::time_point mDrainStarted;
--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -25,6 +25,21 @@
 /// Weight of one call in the moving average of the service time.
 constexpr double kServiceTimeWeight = 0.02;
 
+/// Maximum wait for an upstream that states a limit of requests per second. A
+/// longer one is better spent at another upstream. Two calls may wait even if
+/// the limit is lower, so that the higher class gets the next turn.
+constexpr core::duration kPacedWait{ 250'000 };
+constexpr core::duration kMaximumPacedWait{ 1'000'000 };
+constexpr double kCallsInPacedWait = 2;
+/// An upstream that accepts nothing still gets a request at times, since only a
+/// response tells when its limit ends.
+constexpr double kMinimumRequestsPerSecond = 0.25;
+/// Calls at the start of an upstream or daemon until the first response tells
+/// whether there is a limit: low enough for every limit, and never zero, since
+/// the first calls may wait for other upstreams.
+constexpr double kUnknownLimitRequestsPerSecond = 10;
+constexpr double kUnknownLimitTokens = 2;
+
 /// With a fixed limit, the deadlines of the calls bound their wait instead.
 constexpr core::duration kMaximumFixedLimitWait{ 60'000'000 };
 
@@ -65,17 +80,43 @@
   if (HasCapacity(aNow)) {
     mFeedback.CountIdleCapacity();
   }
+  if (!HasFreeSlot(aNow)) {
+    mFeedback.CountFullSlots();
+  }
   return std::exchange(mActions, {});
 }
 
+std::optional<core::time_point>
+admission_controller::NextDispatch(core::time_point aNow) const
+{
+  if (mQueue.IsEmpty() || mBucket.HasToken(aNow)) {
+    return std::nullopt;
+  }
+  return aNow + mBucket.TimeUntil(aNow, 1);
+}
+
 load_status
 admission_controller::LoadStatus(core::time_point aNow) const
 {
-  return { static_cast<std::uint32_t>(mRunning.size() + mQueue.Size()),
-           mLimit.Limit(aNow),
-           Threshold(aNow),
-           mDraining,
-           static_cast<std::uint32_t>(mMeanServiceMicroseconds) };
+  load_status status{ static_cast<std::uint32_t>(mRunning.size() +
+                                                 mQueue.Size()),
+                      mLimit.Limit(aNow),
+                      Threshold(aNow),
+                      mDraining,
+                      static_cast<std::uint32_t>(mMeanServiceMicroseconds) };
+  if (mStatedLimit) {
+    // Little's law: senders expect a wait of load / limit * service time, which
+    // is load / rate if limit / service time is the rate.
+    auto const perCall = kMicrosecondsPerSecond / *mStatedLimit;
+    auto const concurrency = mMeanServiceMicroseconds / perCall;
+    if (concurrency < status.mLimit) {
+      status.mLimit =
+        std::max(static_cast<std::uint32_t>(concurrency), std::uint32_t{ 1 });
+      status.mServiceMicroseconds = static_cast<std::uint32_t>(
+        std::max(mMeanServiceMicroseconds, status.mLimit * perCall));
+    }
+  }
+  return status;
 }
 
 bool
@@ -122,6 +163,11 @@
     Admit(aNow, aEvent.mCall);
     return;
   }
+  if (IsBeyondStatedLimit(aNow, call.mLevel)) {
+    mFeedback.CountOverload();
+    Refuse(aEvent.mCall, refusal_reason::kQueueFull);
+    return;
+  }
   Enqueue(call);
 }
 
@@ -136,6 +182,9 @@
   mLimit.Record(
     aNow, aEvent.mLatency, static_cast<std::uint32_t>(mRunning.size()));
   mFeedback.CountCompletion();
+  if (mIsLimitUnknown && aEvent.mSuccess) {
+    SetStatedLimit(aNow, std::nullopt);
+  }
   RecordServiceTime(aEvent.mLatency);
   mRunning.erase(found);
 }
@@ -171,10 +220,17 @@
   mPool = aEvent.mPool;
   mSlots = aEvent.mSlots;
   mLimit.Configure(aEvent.mSlots, aEvent.mPool);
+  ConfigureFeedback();
+}
+
+void
+admission_controller::ConfigureFeedback()
+{
   core::duration const queueWait =
     std::chrono::milliseconds(mPool.mQueueWaitMilliseconds);
-  mFeedback.Configure(aEvent.mPool.mObjective,
-                      (HasFixedLimit() ? queueWait : MaximumWait()) /
+  bool const usesQueueWait = HasFixedLimit() && !mStatedLimit;
+  mFeedback.Configure(mPool.mObjective,
+                      (usesQueueWait ? queueWait : MaximumWait()) /
                         kTargetWaitDivisor);
 }
 
@@ -186,6 +242,9 @@
   }
   mRunning.clear();
   mLimit.Restart(aNow);
+  SetStatedLimit(aNow, std::nullopt);
+  mIsLimitUnknown = true;
+  mBucket.SetRate(aNow, kUnknownLimitRequestsPerSecond, kUnknownLimitTokens);
 }
 
 void
@@ -197,10 +256,48 @@
   }
 }
 
+void
+admission_controller::On(core::time_point aNow,
+                         request_limit_stated const& aEvent)
+{
+  SetStatedLimit(aNow, aEvent.mRequestsPerSecond);
+}
+
+void
+admission_controller::SetStatedLimit(core::time_point aNow,
+                                     std::optional<double> aLimit)
+{
+  mIsLimitUnknown = false;
+  mStatedLimit = aLimit;
+  if (mStatedLimit) {
+    mStatedLimit = std::max(*mStatedLimit, kMinimumRequestsPerSecond);
+  }
+  mBucket.SetRate(aNow, mStatedLimit);
+  mFeedback.SetStatedRate(mStatedLimit);
+  ConfigureFeedback();
+}
+
+bool
+admission_controller::HasFreeSlot(core::time_point aNow) const
+{
+  return mRunning.size() < mLimit.Limit(aNow);
+}
+
 bool
 admission_controller::HasCapacity(core::time_point aNow) const
 {
-  return mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow);
+  return mQueue.IsEmpty() && HasFreeSlot(aNow) && mBucket.HasToken(aNow);
+}
+
+bool
+admission_controller::IsBeyondStatedLimit(core::time_point aNow,
+                                          std::uint32_t aLevel) const
+{
+  if (!mStatedLimit) {
+    return false;
+  }
+  auto const ahead = static_cast<double>(mQueue.CountFromLevel(aLevel));
+  return mBucket.TimeUntil(aNow, ahead + 1) > MaximumWait();
 }
 
 std::uint32_t
@@ -257,15 +354,18 @@
 core::duration
 admission_controller::MaximumWait() const
 {
+  core::duration wait = std::chrono::milliseconds(mPool.mQueueWaitMilliseconds);
   if (HasFixedLimit()) {
-    return kMaximumFixedLimitWait;
+    wait = kMaximumFixedLimitWait;
+  } else if (mPool.mObjective == tables::pool_objective::kRecoveryTime) {
+    wait /= kRecoveryQueueDivisor;
   }
-  core::duration const wait =
-    std::chrono::milliseconds(mPool.mQueueWaitMilliseconds);
-  if (mPool.mObjective == tables::pool_objective::kRecoveryTime) {
-    return wait / kRecoveryQueueDivisor;
+  if (!mStatedLimit) {
+    return wait;
   }
-  return wait;
+  core::duration const turns(static_cast<std::int64_t>(
+    kMicrosecondsPerSecond * kCallsInPacedWait / *mStatedLimit));
+  return std::min(wait, std::clamp(turns, kPacedWait, kMaximumPacedWait));
 }
 
 void
@@ -285,7 +385,7 @@
 void
 admission_controller::Dispatch(core::time_point aNow)
 {
-  while (!mQueue.IsEmpty() && mRunning.size() < mLimit.Limit(aNow)) {
+  while (!mQueue.IsEmpty() && HasFreeSlot(aNow) && mBucket.HasToken(aNow)) {
     auto const call = mQueue.PopFirst();
     mFeedback.CountWait(aNow - call->mArrived);
     if (mMechanisms.mQueueDeadline &&
@@ -316,6 +416,7 @@
   CF_ASSERT(added, "a call was admitted twice");
   CF_ASSERT(mRunning.size() <= mLimit.Limit(aNow),
             "more calls run than the limit allows");
+  mBucket.Take(aNow);
   mActions.emplace_back(admit_call{ aCall });
 }
 
--- a/Libraries/LibTraffic/AdmissionController.h
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -8,8 +8,10 @@
 #include "LibTraffic/AdmissionQueue.h"
 #include "LibTraffic/CallContext.h"
 #include "LibTraffic/LoadStatus.h"
+#include "LibTraffic/TokenBucket.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <variant>
@@ -61,13 +63,21 @@
 struct admission_drain_started
 {};
 
+/// What a response of the upstream states about the requests per second that it
+/// accepts; empty if it states no limit.
+struct request_limit_stated
+{
+  std::optional<double> mRequestsPerSecond;
+};
+
 using admission_event = std::variant<call_arrived,
                                      call_finished,
                                      call_cancelled,
                                      admission_tick,
                                      configuration_changed,
                                      upstream_restarted,
-                                     admission_drain_started>;
+                                     admission_drain_started,
+                                     request_limit_stated>;
 
 struct admit_call
 {
@@ -109,6 +119,10 @@
   std::vector<admission_action> Handle(core::time_point aNow,
                                        admission_event const& aEvent);
 
+  /// Returns when a waiting call may be admitted without another event; empty
+  /// if none may. The owner then sends an admission_tick.
+  std::optional<core::time_point> NextDispatch(core::time_point aNow) const;
+
   /// Returns the load status to send with a response at aNow.
   load_status LoadStatus(core::time_point aNow) const;
 
@@ -132,8 +146,15 @@
   void On(core::time_point aNow, configuration_changed const& aEvent);
   void On(core::time_point aNow, upstream_restarted const& aEvent);
   void On(core::time_point aNow, admission_drain_started const& aEvent);
+  void On(core::time_point aNow, request_limit_stated const& aEvent);
 
   bool HasCapacity(core::time_point aNow) const;
+  bool HasFreeSlot(core::time_point aNow) const;
+  /// Returns whether the stated limit lets a call of this level start only
+  /// after the maximum wait.
+  bool IsBeyondStatedLimit(core::time_point aNow, std::uint32_t aLevel) const;
+  void SetStatedLimit(core::time_point aNow, std::optional<double> aLimit);
+  void ConfigureFeedback();
   std::uint32_t Threshold(core::time_point aNow) const;
   /// Returns the lowest shed position at which this call is admitted.
   std::uint32_t ThresholdFor(core::time_point aNow,
@@ -161,6 +182,12 @@
   /// Admitted calls of upstream processes that have ended since.
   std::unordered_set<call_id> mCallsOfEarlierProcesses;
   bool mDraining = false;
+  token_bucket mBucket;
+  /// Requests per second; empty if the upstream has stated no limit.
+  std::optional<double> mStatedLimit;
+  /// The present process of the upstream has not responded yet, so that it is
+  /// unknown whether it states a limit.
+  bool mIsLimitUnknown = false;
   /// Moving average; 0 before the first call has ended.
   double mMeanServiceMicroseconds = 0;
   actions mActions;
--- a/Libraries/LibTraffic/AdmissionFeedback.cpp
+++ b/Libraries/LibTraffic/AdmissionFeedback.cpp
@@ -46,6 +46,7 @@
   mWaits = 0;
   mWaitSum = {};
   mHadIdleCapacity = false;
+  mHadFullSlots = false;
 }
 
 std::uint32_t
@@ -66,8 +67,8 @@
       rate += kWindowWeight * (arrivalRate - rate);
     }
   }
-  auto const completionRate = mCompletions / aSeconds;
-  mCompletionRate += kWindowWeight * (completionRate - mCompletionRate);
+  mCountedRate += kWindowWeight * (mCompletions / aSeconds - mCountedRate);
+  mCompletionRate = mStatedRate && !mHadFullSlots ? *mStatedRate : mCountedRate;
 }
 
 double
--- a/Libraries/LibTraffic/AdmissionFeedback.h
+++ b/Libraries/LibTraffic/AdmissionFeedback.h
@@ -29,6 +29,13 @@
     mTargetWait = aTargetWait;
   }
 
+  /// Sets the calls per second that the upstream accepts; empty if it has not
+  /// stated a limit. At low rates, counting completions is too inaccurate.
+  void SetStatedRate(std::optional<double> aCallsPerSecond)
+  {
+    mStatedRate = aCallsPerSecond;
+  }
+
   void CountArrival(std::uint32_t aPosition) { ++mArrivals.at(aPosition); }
   void CountCompletion() { ++mCompletions; }
   /// Counts a call above the threshold that left the queue after aWait.
@@ -43,6 +50,10 @@
   /// Notes that the upstream had a free slot and no call was waiting for it.
   void CountIdleCapacity() { mHadIdleCapacity = true; }
 
+  /// Notes that all slots of the upstream were taken, so that a stated rate may
+  /// be above what it completes.
+  void CountFullSlots() { mHadFullSlots = true; }
+
   /// Closes the current window once it is long enough, and moves the threshold.
   void Advance(core::time_point aNow);
 
@@ -53,7 +64,8 @@
   /// work in progress, which may have been admitted under it.
   std::uint32_t ThresholdOfWorkInProgress() const;
 
-  /// Returns the completed calls per second; 0 when unknown.
+  /// Returns the calls per second that the upstream completes or, while the
+  /// rate that it stated is what limits it, accepts; 0 when unknown.
   double CompletionRate() const { return mCompletionRate; }
 
 private:
@@ -79,6 +91,9 @@
   core::duration mWaitSum{};
   core::duration mTargetWait{ 1 };
   bool mHadIdleCapacity = false;
+  bool mHadFullSlots = false;
+  std::optional<double> mStatedRate;
+  double mCountedRate = 0;
   double mCompletionRate = 0;
   /// Arrivals per second that are admitted; empty when there is no overload.
   std::optional<double> mAllowedRate;
