LibDaemon: Send no new calls to an upstream whose responses say it leaves

The daemon beside the upstream refuses new and waiting calls as not run with the response that tells it, marks its load status as draining and announces the drain. A report of the same process that was sent before does not undo this; another process of the upstream, told by id or start time, serves again. Calls that waited when an upstream reported a drain could also still reach it; they are refused now, too.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -102,11 +102,14 @@
       ApplyUpstreamStatus();
     });
   };
-  shared_services const shared{ mSettings,     mPolicy,
-                                mMetrics,      mPermits,
-                                mRequests,     mClaims,
-                                mQuarantine,   mExtension.mDialect,
-                                onUpstreamLost };
+  auto const onUpstreamLeaving = [this](membership::upstream_id const& aId) {
+    asio::post(mContext, [this, aId] { OnUpstreamLeaving(aId); });
+  };
+  shared_services const shared{ mSettings,      mPolicy,
+                                mMetrics,       mPermits,
+                                mRequests,      mClaims,
+                                mQuarantine,    mExtension.mDialect,
+                                onUpstreamLost, onUpstreamLeaving };
   for (std::uint32_t index = 0; index < mSettings.mTrafficThreads; ++index) {
     mThreads.push_back(std::make_unique<traffic_thread>(shared));
     mThreads.back()->SetPeerHooks(MakePeerHooks(*mThreads.back()));
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -69,6 +69,9 @@
   task<void> WatchSignals();
   task<void> WaitUntilIdle();
   void OnUpstreamHealth(unsigned aStatus);
+  void OnUpstreamLeaving(membership::upstream_id const& aId);
+  /// Passes an event to the lifecycle and logs a change of its state.
+  void FireLifecycle(std::string_view aEvent);
   void OnTrafficMessage(traffic_thread& aThread,
                         traffic_message const& aMessage,
                         hello const& aPeer);
--- a/Libraries/LibDaemon/DaemonUpstream.cpp
+++ b/Libraries/LibDaemon/DaemonUpstream.cpp
@@ -76,6 +76,29 @@
   }
 }
 
+void
+mesh_daemon::OnUpstreamLeaving(membership::upstream_id const& aId)
+{
+  if (mSettings.mUpstream.mReportsItself) {
+    mUpstream.MarkLeaving(aId);
+    ApplyUpstreamStatus();
+  } else {
+    FireLifecycle("upstream_leaving");
+  }
+}
+
+void
+mesh_daemon::FireLifecycle(std::string_view aEvent)
+{
+  auto const before = mLifecycle->State();
+  mLifecycle->Fire(aEvent);
+  if (mLifecycle->State() != before) {
+    core::LogInfo("lifecycle_changed")
+      .Field("from", before)
+      .Field("to", mLifecycle->State());
+  }
+}
+
 task<void>
 mesh_daemon::PollUpstream()
 {
@@ -133,25 +156,19 @@
 void
 mesh_daemon::OnUpstreamHealth(unsigned aStatus)
 {
-  auto const before = mLifecycle->State();
   // A health endpoint may report a wrong status. A bad status keeps a new
   // upstream from getting requests, but only a failed connection takes a
-  // serving one out of service.
+  // serving one out of service, and ends the state of a leaving one.
   membership::upstream_status upstream;
   upstream.mSlots = mSettings.mUpstream.mSlots;
-  if (aStatus == kHealthyStatus) {
-    upstream.mLifecycle = membership::lifecycle_state::kServing;
-    mLifecycle->Fire("upstream_ready");
+  if (aStatus == 0) {
+    FireLifecycle("upstream_lost");
     mPolicy.SetUpstream(Now(), upstream);
-  } else if (aStatus == 0) {
-    mLifecycle->Fire("upstream_lost");
+  } else if (aStatus == kHealthyStatus && !mPolicy.Condition().mIsLeaving) {
+    upstream.mLifecycle = membership::lifecycle_state::kServing;
+    FireLifecycle("upstream_ready");
     mPolicy.SetUpstream(Now(), upstream);
   }
-  if (mLifecycle->State() != before) {
-    core::LogInfo("lifecycle_changed")
-      .Field("from", before)
-      .Field("to", mLifecycle->State());
-  }
 }
 
 }
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -348,8 +348,7 @@
     }
     mKeepAlive = metadata.mKeepAlive;
     if (metadata.mCondition) {
-      mServices.mPolicy.RecordCondition(
-        Now(), mUpstreamId, *metadata.mCondition);
+      RecordCondition(*metadata.mCondition);
     }
     if (metadata.mIsMalformed) {
       co_return call_refusal{ outcome::kUnknown,
@@ -368,6 +367,16 @@
   co_return FailureFromError(http::error::body_limit);
 }
 
+void
+incoming_call::RecordCondition(traffic::upstream_condition const& aCondition)
+{
+  bool const isNewlyLeaving =
+    mServices.mPolicy.RecordCondition(Now(), mUpstreamId, aCondition);
+  if (isNewlyLeaving && mServices.mOnUpstreamLeaving) {
+    mServices.mOnUpstreamLeaving(mUpstreamId);
+  }
+}
+
 task<boost::system::error_code>
 incoming_call::SkipBody(upstream_connection& aConnection,
                         response_parser& aParser)
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -29,6 +29,9 @@
   http_dialect const& mDialect;
   /// Runs when the upstream does not accept a connection.
   std::function<void()> mOnUpstreamLost;
+  /// Runs when a response of this process of the upstream states for the first
+  /// time that it is leaving.
+  std::function<void(membership::upstream_id)> mOnUpstreamLeaving;
 };
 
 /// One call from a peer to the local upstream: admission, HTTP exchange, and
@@ -60,6 +63,7 @@
   task<std::optional<call_refusal>> ReadResponseHead(
     upstream_connection& aConnection,
     std::optional<response_parser>& aParser);
+  void RecordCondition(traffic::upstream_condition const& aCondition);
   task<boost::system::error_code> SkipBody(upstream_connection& aConnection,
                                            response_parser& aParser);
   core::duration MaximumConnectionIdle() const;
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -238,12 +238,11 @@
   {
     std::scoped_lock const lock(mMutex);
     call = { ++mLastCallId };
-    bool const isLeaving =
-      mUpstream.mLifecycle == membership::lifecycle_state::kDraining;
-    if (!IsUpstreamServing() && !mIsDraining) {
+    bool const isRefusing = !IsUpstreamServing() || IsUpstreamLeaving();
+    if (isRefusing && !mIsDraining) {
       callbacks.emplace_back(std::move(aCallback),
                              call_refusal{ outcome::kNotRun,
-                                           isLeaving
+                                           IsUpstreamLeaving()
                                              ? refusal_reason::kDraining
                                              : refusal_reason::kNotReady,
                                            kDefaultRetryAfter });
@@ -340,35 +339,47 @@
     if (IsUpstreamServing() && isNewProcess) {
       mCondition.reset();
       callbacks = Handle(aNow, traffic::upstream_restarted{});
+    } else if (IsUpstreamLeaving() && wasServing) {
+      callbacks = Handle(aNow, traffic::upstream_leaving{});
     }
   }
   RunCallbacks(callbacks);
 }
 
-void
+bool
 traffic_policy::RecordCondition(core::time_point aNow,
                                 membership::upstream_id const& aUpstream,
                                 traffic::upstream_condition const& aCondition)
 {
   pending_callbacks callbacks;
+  bool isNewlyLeaving = false;
   {
     std::scoped_lock const lock(mMutex);
     if (aUpstream != mUpstream.mId || mCondition == aCondition) {
-      return;
+      return false;
     }
     auto const before = mCondition.value_or(traffic::upstream_condition{});
     mCondition = aCondition;
+    // Responses arrive in any order, and an upstream does not return from
+    // leaving.
+    mCondition->mIsLeaving |= before.mIsLeaving;
+    isNewlyLeaving = mCondition->mIsLeaving && !before.mIsLeaving;
     callbacks = Handle(
       aNow, traffic::request_limit_stated{ aCondition.mRequestsPerSecond });
-    if (before != aCondition) {
+    if (isNewlyLeaving) {
+      auto const refused = Handle(aNow, traffic::upstream_leaving{});
+      callbacks.insert(callbacks.end(), refused.begin(), refused.end());
+    }
+    if (before != *mCondition) {
       core::LogInfo("upstream_condition_changed")
         .Field("upstream", aUpstream.mValue)
         .Field("request_limit_before", FormatRequestLimit(before))
-        .Field("request_limit", FormatRequestLimit(aCondition))
-        .Field("leaving", aCondition.mIsLeaving ? "yes" : "no");
+        .Field("request_limit", FormatRequestLimit(*mCondition))
+        .Field("leaving", mCondition->mIsLeaving ? "yes" : "no");
     }
   }
   RunCallbacks(callbacks);
+  return isNewlyLeaving;
 }
 
 traffic::upstream_condition
@@ -398,6 +409,15 @@
   return mUpstream.mLifecycle == membership::lifecycle_state::kServing;
 }
 
+bool
+traffic_policy::IsUpstreamLeaving() const
+{
+  bool const hasReported =
+    mUpstream.mLifecycle == membership::lifecycle_state::kDraining ||
+    mUpstream.mLifecycle == membership::lifecycle_state::kLeft;
+  return hasReported || (mCondition && mCondition->mIsLeaving);
+}
+
 void
 traffic_policy::StartDraining(core::time_point aNow)
 {
@@ -447,6 +467,7 @@
 {
   std::scoped_lock const lock(mMutex);
   auto stamp = mAdmission.LoadStatus(aNow);
+  stamp.mDraining = stamp.mDraining || IsUpstreamLeaving();
   stamp.mDownstreamThreshold = DownstreamThreshold(aNow, aRoute);
   return stamp;
 }
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -85,8 +85,9 @@
   void SetUpstream(core::time_point aNow,
                    membership::upstream_status const& aStatus);
   /// Applies what the process aUpstream of the local upstream states about
-  /// itself; ignored if another process serves now.
-  void RecordCondition(core::time_point aNow,
+  /// itself; ignored if another process serves now. Returns whether it states
+  /// for the first time that it is leaving.
+  bool RecordCondition(core::time_point aNow,
                        membership::upstream_id const& aUpstream,
                        traffic::upstream_condition const& aCondition);
   /// Returns the last recorded condition of the local upstream.
@@ -186,6 +187,9 @@
   void RecordCallee(core::request_id const& aParent,
                     traffic::callee const& aCallee);
   bool IsUpstreamServing() const;
+  /// Returns whether the local upstream takes no new calls because it is about
+  /// to stop.
+  bool IsUpstreamLeaving() const;
   void ConfigureAdmission(core::time_point aNow);
   void ConfigurePools();
   /// Returns the retries at aPool that its table row and the settings allow
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -48,7 +48,8 @@
                mUpstreams,
                aShared.mQuarantine,
                aShared.mDialect,
-               aShared.mOnUpstreamLost }
+               aShared.mOnUpstreamLost,
+               aShared.mOnUpstreamLeaving }
   , mOutgoing{ mContext.get_executor(),
                aShared.mSettings,
                aShared.mPolicy,
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -23,6 +23,7 @@
   http_dialect const& mDialect;
   /// Runs on a traffic thread when the upstream does not accept a connection.
   std::function<void()> mOnUpstreamLost;
+  std::function<void(membership::upstream_id)> mOnUpstreamLeaving;
 };
 
 /// A thread that runs calls, with its event loop, its links to peers and its
--- a/Libraries/LibMembership/UpstreamTracker.cpp
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -56,6 +56,16 @@
          aReport.mSequence <= mSequence;
 }
 
+bool
+upstream_tracker::IsOfPresentProcess(upstream_report const& aReport) const
+{
+  bool const canCompareStarts =
+    aReport.mStartMilliseconds != 0 && mStartMilliseconds != 0;
+  return aReport.mId == mStatus.mId &&
+         (!canCompareStarts ||
+          aReport.mStartMilliseconds == mStartMilliseconds);
+}
+
 report_outcome
 upstream_tracker::Handle(core::time_point aNow, upstream_report const& aReport)
 {
@@ -73,6 +83,7 @@
   if (IsOutdated(aReport)) {
     return report_outcome::kOutdated;
   }
+  mIsLeaving = mIsLeaving && IsOfPresentProcess(aReport);
   auto const slots = isDeregistration ? mStatus.mSlots : aReport.mSlots;
   mStatus = {
     aReport.mId, slots, aReport.mLifecycle, aReport.mColdStartRemaining
@@ -80,9 +91,27 @@
   mStartMilliseconds = std::max(mStartMilliseconds, aReport.mStartMilliseconds);
   mSequence = aReport.mSequence;
   mLastReport = aNow;
+  ApplyLeaving();
   return report_outcome::kAccepted;
 }
 
+void
+upstream_tracker::MarkLeaving(upstream_id const& aId)
+{
+  if (aId == mStatus.mId) {
+    mIsLeaving = true;
+    ApplyLeaving();
+  }
+}
+
+void
+upstream_tracker::ApplyLeaving()
+{
+  if (mIsLeaving && mStatus.mLifecycle == lifecycle_state::kServing) {
+    mStatus.mLifecycle = lifecycle_state::kDraining;
+  }
+}
+
 void
 upstream_tracker::MarkUnavailable()
 {
--- a/Libraries/LibMembership/UpstreamTracker.h
+++ b/Libraries/LibMembership/UpstreamTracker.h
@@ -74,6 +74,10 @@
   /// process. It receives no requests until its next report.
   void MarkUnavailable();
 
+  /// Called when a response of the process aId states that it is leaving. Its
+  /// later reports do not undo this.
+  void MarkLeaving(upstream_id const& aId);
+
   /// Marks a serving upstream as unavailable if it has not reported for too
   /// long. Returns whether the status has changed.
   bool CheckReportTimeout(core::time_point aNow);
@@ -82,6 +86,8 @@
 
 private:
   bool IsOutdated(upstream_report const& aReport) const;
+  void ApplyLeaving();
+  bool IsOfPresentProcess(upstream_report const& aReport) const;
 
   core::address mAddress;
   core::service_id mService;
@@ -89,6 +95,8 @@
   std::uint64_t mStartMilliseconds = 0;
   std::uint64_t mSequence = 0;
   core::time_point mLastReport{};
+  /// The present process has stated in a response that it is leaving.
+  bool mIsLeaving = false;
 };
 
 }
--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -251,9 +251,13 @@
 admission_controller::On(core::time_point, admission_drain_started const&)
 {
   mDraining = true;
-  while (auto const call = mQueue.PopFirst()) {
-    Refuse(call->mCall, refusal_reason::kDraining);
-  }
+  RefuseWaiting();
+}
+
+void
+admission_controller::On(core::time_point, upstream_leaving const&)
+{
+  RefuseWaiting();
 }
 
 void
@@ -277,6 +281,14 @@
   ConfigureFeedback();
 }
 
+void
+admission_controller::RefuseWaiting()
+{
+  while (auto const call = mQueue.PopFirst()) {
+    Refuse(call->mCall, refusal_reason::kDraining);
+  }
+}
+
 bool
 admission_controller::HasFreeSlot(core::time_point aNow) const
 {
--- a/Libraries/LibTraffic/AdmissionController.h
+++ b/Libraries/LibTraffic/AdmissionController.h
@@ -63,6 +63,11 @@
 struct admission_drain_started
 {};
 
+/// The upstream takes no further calls: waiting ones are refused. The owner
+/// refuses new calls itself until another process of the upstream serves.
+struct upstream_leaving
+{};
+
 /// What a response of the upstream states about the requests per second that it
 /// accepts; empty if it states no limit.
 struct request_limit_stated
@@ -77,6 +82,7 @@
                                      configuration_changed,
                                      upstream_restarted,
                                      admission_drain_started,
+                                     upstream_leaving,
                                      request_limit_stated>;
 
 struct admit_call
@@ -146,6 +152,7 @@
   void On(core::time_point aNow, configuration_changed const& aEvent);
   void On(core::time_point aNow, upstream_restarted const& aEvent);
   void On(core::time_point aNow, admission_drain_started const& aEvent);
+  void On(core::time_point aNow, upstream_leaving const& aEvent);
   void On(core::time_point aNow, request_limit_stated const& aEvent);
 
   bool HasCapacity(core::time_point aNow) const;
@@ -155,6 +162,7 @@
   bool IsBeyondStatedLimit(core::time_point aNow, std::uint32_t aLevel) const;
   void SetStatedLimit(core::time_point aNow, std::optional<double> aLimit);
   void ConfigureFeedback();
+  void RefuseWaiting();
   std::uint32_t Threshold(core::time_point aNow) const;
   /// Returns the lowest shed position at which this call is admitted.
   std::uint32_t ThresholdFor(core::time_point aNow,
--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -123,9 +123,19 @@
 std::uint32_t
 upstream_health::Threshold(core::time_point aNow) const
 {
-  bool const isRecent =
-    mLoadStatus && aNow < mLoadStatusReceived + kLoadStatusLifetime;
-  return isRecent ? mLoadStatus->mAdmissionThreshold : 0;
+  return HasRecentStatus(aNow) ? mLoadStatus->mAdmissionThreshold : 0;
+}
+
+bool
+upstream_health::IsDraining(core::time_point aNow) const
+{
+  return HasRecentStatus(aNow) && mLoadStatus->mDraining;
+}
+
+bool
+upstream_health::HasRecentStatus(core::time_point aNow) const
+{
+  return mLoadStatus && aNow < mLoadStatusReceived + kLoadStatusLifetime;
 }
 
 double
--- a/Libraries/LibTraffic/UpstreamHealth.h
+++ b/Libraries/LibTraffic/UpstreamHealth.h
@@ -57,7 +57,9 @@
   /// Returns the admission threshold of the last load status; 0 if it has
   /// expired.
   std::uint32_t Threshold(core::time_point aNow) const;
-  bool IsDraining() const { return mLoadStatus && mLoadStatus->mDraining; }
+  /// Returns whether the last load status reported a drain; false if it has
+  /// expired, since another process of the upstream may serve by then.
+  bool IsDraining(core::time_point aNow) const;
 
   /// Returns the expected duration of one more call in microseconds, including
   /// the wait, and increased if the share of errors is above the pool's mean.
@@ -77,6 +79,7 @@
   core::duration Latency() const;
 
 private:
+  bool HasRecentStatus(core::time_point aNow) const;
   void Avoid(core::time_point aNow, core::duration aDuration);
   void CountError(core::time_point aNow, bool aIsError);
   /// Returns the expected duration of a call without waiting, in microseconds.
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -114,7 +114,7 @@
 {
   std::optional<std::uint32_t> lowest;
   for (auto const& [id, entry] : mUpstreams) {
-    if (!IsUsable(entry, {}) ||
+    if (!IsUsable(aNow, entry, {}) ||
         !IsWithinSpillScope(Distance(entry.mCandidate))) {
       continue;
     }
@@ -212,10 +212,11 @@
 }
 
 bool
-upstream_selector::IsUsable(upstream const& aUpstream,
+upstream_selector::IsUsable(core::time_point aNow,
+                            upstream const& aUpstream,
                             std::vector<core::instance_id> const& aTried) const
 {
-  if (aUpstream.mCandidate.mDraining || aUpstream.mHealth.IsDraining()) {
+  if (aUpstream.mCandidate.mDraining || aUpstream.mHealth.IsDraining(aNow)) {
     return false;
   }
   return std::find(aTried.begin(),
@@ -244,7 +245,7 @@
   classified_upstreams classified;
   for (auto& [id, entry] : mUpstreams) {
     if (!IsWithinSpillScope(Distance(entry.mCandidate)) ||
-        !IsUsable(entry, aTried)) {
+        !IsUsable(aNow, entry, aTried)) {
       continue;
     }
     if (mMechanisms.mSenderThreshold &&
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -141,7 +141,8 @@
 
   int Distance(candidate const& aCandidate) const;
   bool IsWithinSpillScope(int aDistance) const;
-  bool IsUsable(upstream const& aUpstream,
+  bool IsUsable(core::time_point aNow,
+                upstream const& aUpstream,
                 std::vector<core::instance_id> const& aTried) const;
   bool IsInPanicMode(core::time_point aNow) const;
   /// Returns the downstream threshold of aRoute; 0 if it is unknown or has
--- a/Tests/LibMembership/TestUpstreamTracker.cpp
+++ b/Tests/LibMembership/TestUpstreamTracker.cpp
@@ -80,6 +80,31 @@
   BOOST_TEST((mTracker.Status().mLifecycle == lifecycle_state::kDraining));
 }
 
+// Guards against a report that was sent before the upstream stated in a
+// response that it is leaving, and that reverts this.
+BOOST_AUTO_TEST_CASE(ReportDoesNotUndoAStatedDeparture)
+{
+  Handle(Report("a", 100, 7));
+  mTracker.MarkLeaving({ "b" });
+  BOOST_TEST((mTracker.Status().mLifecycle == lifecycle_state::kServing));
+  mTracker.MarkLeaving({ "a" });
+  BOOST_TEST((mTracker.Status().mLifecycle == lifecycle_state::kDraining));
+  Handle(Report("a", 100, 8));
+  BOOST_TEST((mTracker.Status().mLifecycle == lifecycle_state::kDraining));
+}
+
+// Guards against a departure that keeps the next process from serving.
+BOOST_AUTO_TEST_CASE(StatedDepartureEndsWithItsProcess)
+{
+  Handle(Report("a", 100, 7));
+  mTracker.MarkLeaving({ "a" });
+  Handle(Report("a", 200, 1));
+  BOOST_TEST((mTracker.Status().mLifecycle == lifecycle_state::kServing));
+  mTracker.MarkLeaving({ "a" });
+  Handle(Report("b", 0, 1));
+  BOOST_TEST((mTracker.Status().mLifecycle == lifecycle_state::kServing));
+}
+
 // Guards against a deregistration that is acknowledged but ignored because it
 // has neither start time nor sequence number; the upstream still received
 // requests.
--- a/Tests/LibTraffic/TestStatedLimit.cpp
+++ b/Tests/LibTraffic/TestStatedLimit.cpp
@@ -200,7 +200,7 @@
          static_cast<double>(aWorld.Offered(aClass));
 }
 
-}
+} // namespace
 
 BOOST_AUTO_TEST_SUITE(StatedLimit)
 
@@ -359,4 +359,17 @@
   BOOST_TEST(slow.mServiceMicroseconds == 500'000U);
 }
 
+// Guards against waiting calls that reach an upstream after it has stated that
+// it is leaving.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNoWaitingCalls)
+{
+  limited_world world;
+  world.State(20);
+  world.Offer(work_class::kCatalogue, 200);
+  world.Run(std::chrono::seconds(2));
+  BOOST_TEST_REQUIRE(world.Controller().Waiting() > 0U);
+  world.Handle(upstream_leaving{});
+  BOOST_TEST(world.Controller().Waiting() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -183,6 +183,21 @@
   BOOST_TEST(run.Select() == "near");
 }
 
+// Guards against a daemon that gets no calls for good after its upstream has
+// left and another process of it has taken its place.
+BOOST_AUTO_TEST_CASE(ReportedDrainExpires)
+{
+  fixture run;
+  run.Try("near",
+          outcome::kNotRun,
+          refusal_reason::kDraining,
+          load_status{ 0, 10, 0, true });
+  BOOST_TEST(run.Select() == "middle");
+  run.Report("middle", outcome::kRan);
+  run.mNow += kLoadStatusLifetime;
+  run.Try("near", outcome::kRan);
+}
+
 // Guards against new calls at a draining upstream, also before its announcement
 // has arrived, and against keeping the draining state after a restart under the
 // same name.
