LibDaemon: Drop requests whose callers left before they were read

Cause: the caller's side of the connection was watched only once the call was on its way, so the call and its cancellation raced.

Now the connection is looked at once before the call is made; the request is dropped, counted and logged.

--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -163,6 +163,11 @@
   task<bool> Serve()
   {
     mStarted = Now();
+    if (mBuffer.size() == 0 && HasCallerLeft()) {
+      // A busy daemon may read a request long after it was sent.
+      DropRequest();
+      co_return false;
+    }
     auto const view = Outgoing().mPolicy.View();
     auto const& message = mParser->get();
     auto const method = std::string(message.method_string());
@@ -404,22 +409,26 @@
     if (mBuffer.size() > 0) {
       co_return;
     }
-    auto& socket = mStream.socket();
     auto const [code] =
-      co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
-    if (code || mMustStopReading) {
-      co_return;
-    }
-    char byte = 0;
-    beast::error_code peekCode;
-    socket.non_blocking(true, peekCode);
-    auto const size = socket.receive(
-      asio::buffer(&byte, 1), tcp::socket::message_peek, peekCode);
-    if (size == 0 && peekCode != asio::error::would_block) {
+      co_await mStream.socket().async_wait(tcp::socket::wait_read, kAsTuple);
+    if (!code && !mMustStopReading && HasCallerLeft()) {
       aRunner.Abandon();
     }
   }
 
+  /// Returns whether the caller has closed its side of the connection and
+  /// nothing is left to read.
+  bool HasCallerLeft()
+  {
+    auto& socket = mStream.socket();
+    char byte = 0;
+    beast::error_code code;
+    socket.non_blocking(true, code);
+    auto const size =
+      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return size == 0 && code != asio::error::would_block;
+  }
+
   /// Stops the reader. Returns whether the request was read to its end.
   task<bool> StopReader()
   {
@@ -504,6 +513,16 @@
     co_return keepAlive&& wasRead;
   }
 
+  void DropRequest()
+  {
+    auto constexpr reason = refusal_reason::kCallerLeft;
+    Outgoing().mMetrics.CountRefusal(refusal_place::kCaller, reason);
+    auto const metadata = mServices.mDialect.mReadCaller(mParser->get());
+    core::LogInfo("request_dropped")
+      .Field("request", metadata.mRequest.mValue)
+      .Field("reason", core::ReasonName(reason));
+  }
+
   void LogRefusal(call_refusal const& aRefusal, unsigned aStatus) const
   {
     auto const metadata = mServices.mDialect.mReadCaller(mParser->get());
--- a/Tests/Daemon/TestRequests.cpp
+++ b/Tests/Daemon/TestRequests.cpp
@@ -197,6 +197,23 @@
   BOOST_TEST(read->mHead.mStatus == 200U);
 }
 
+// Guards against running requests of callers who left while a busy daemon had
+// not read them yet.
+BOOST_AUTO_TEST_CASE(UnreadRequestsOfDepartedCallersAreNotRun)
+{
+  mesh running;
+  running.Daemon("order").Signal(SIGSTOP);
+  for (int caller = 0; caller < 100; ++caller) {
+    SendBytes(running.Caller("order"),
+              "GET /stock/left HTTP/1.1\r\nhost: x\r\n\r\n");
+  }
+  running.Daemon("order").Signal(SIGCONT);
+  auto const read = Send(running.Caller("order"), kReadStock);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->mHead.mStatus == 200U);
+  BOOST_TEST(!Contains(running.Journal("stock"), "/stock/left"));
+}
+
 // Guards against a planned stop that aborts a request in flight.
 BOOST_AUTO_TEST_CASE(TerminatedDaemonFinishesItsRequests)
 {
