LibTraffic: Size trials of the concurrency limit by the measured latency

Callers of a deep service with 3.4 of 17 cores got 10 s of competing calls: each trial took three tenths off the limit, and two windows of 40 calls went by between trials.

A trial now goes to the limit at which latency would be 1.6 times the baseline if throughput stayed the same (Little's law), at most to half the limit, and the next trial starts with the end of a successful one. A trial has failed if latency fell by less than half as much as the limit, as before.

AdmissionLimit/StrongCompetitionShrinksTheLimitInFewSteps failed before (9 for at most 8). The users' platform uses fixed limits, which this does not touch.

--- a/Libraries/LibTraffic/AdmissionLimit.cpp
+++ b/Libraries/LibTraffic/AdmissionLimit.cpp
@@ -15,10 +15,10 @@
 constexpr double kCompetitionRatio = 1.6;
 /// Ratio of latency to baseline up to which the limit grows.
 constexpr double kGrowthRatio = 1.3;
-constexpr double kShrinkFactor = 0.7;
-/// Ratio to the earlier latency above which a trial has failed: halfway between
-/// unchanged latency and latency that fell as much as the limit.
-constexpr double kTrialFailureRatio = (1 + kShrinkFactor) / 2;
+/// Factors on the limit in a trial. The lower one bounds what a trial can cost
+/// if calls do not compete.
+constexpr double kMinimumShrinkFactor = 0.5;
+constexpr double kMaximumShrinkFactor = 0.7;
 constexpr double kBaselineWeight = 0.1;
 constexpr double kBaselineDecay = 0.95;
 constexpr double kSlowGrowth = 0.1;
@@ -151,20 +151,41 @@
     mBaseline = std::max(mBaselineFloor, kBaselineDecay * mBaseline);
     return;
   }
-  if (mLimit > 1) {
-    mTrial = trial{ mLimit, aLatency };
-    mLimit = std::max(1.0, mLimit * kShrinkFactor);
+  StartTrial(aLatency);
+}
+
+void
+concurrency_limit::StartTrial(double aLatency)
+{
+  mTrial.reset();
+  if (mLimit <= 1) {
+    return;
   }
+  mTrial = trial{ mLimit, aLatency };
+  // If the throughput stays the same, latency falls as much as the limit
+  // (Little's law), and this limit just ends the competition.
+  auto const factor = std::clamp(kCompetitionRatio * mBaseline / aLatency,
+                                 kMinimumShrinkFactor,
+                                 kMaximumShrinkFactor);
+  mLimit = std::max(1.0, mLimit * factor);
 }
 
 void
 concurrency_limit::EndTrial(double aLatency)
 {
-  if (aLatency > kTrialFailureRatio * mTrial->mLatencyBefore) {
+  // A trial has failed if latency fell by less than half as much as the limit.
+  auto const failureRatio = (1 + mLimit / mTrial->mLimitBefore) / 2;
+  if (aLatency > failureRatio * mTrial->mLatencyBefore) {
     mLimit = std::min(mSlots, mTrial->mLimitBefore);
     mBaseline = std::max(mBaseline, aLatency);
+    mTrial.reset();
+  } else if (aLatency > kCompetitionRatio * mBaseline) {
+    // Calls still compete, so that the next trial need not wait for another
+    // window.
+    StartTrial(aLatency);
+  } else {
+    mTrial.reset();
   }
-  mTrial.reset();
 }
 
 void
--- a/Libraries/LibTraffic/AdmissionLimit.h
+++ b/Libraries/LibTraffic/AdmissionLimit.h
@@ -59,6 +59,7 @@
   };
 
   void CloseWindow(double aLatency, bool aBusy);
+  void StartTrial(double aLatency);
   void EndTrial(double aLatency);
   void Grow(double aLatency);
 
--- a/Tests/LibTraffic/TestAdmissionLimit.cpp
+++ b/Tests/LibTraffic/TestAdmissionLimit.cpp
@@ -58,6 +58,20 @@
   BOOST_TEST(regrown == kSlots);
 }
 
+// Guards against a limit that takes so many steps to settle that calls compete
+// for seconds.
+BOOST_AUTO_TEST_CASE(StrongCompetitionShrinksTheLimitInFewSteps)
+{
+  core::time_point now{ std::chrono::seconds(1) };
+  auto limit = MakeLimit(now);
+  // Three windows of 40 calls and the calls that started before each change.
+  auto const shrunk = LimitAfter(limit, now, 180, [](std::int64_t aLimit) {
+    return kServiceMicroseconds * std::max<std::int64_t>(aLimit, 4) / 4;
+  });
+  BOOST_TEST(shrunk >= 3U);
+  BOOST_TEST(shrunk <= 8U);
+}
+
 // Guards against a fixed limit that leaves no slot for health checks and new
 // connections, and against headroom that takes a large part of a small
 // upstream.
