LibDaemon: Share the look at a socket that is not read from

HttpServer and UpstreamClient each peeked at a socket to see whether the peer had closed it; PeekSocket() in Asio.h serves both. No change of behaviour; TestDaemon passes.

--- a/Libraries/LibDaemon/Asio.h
+++ b/Libraries/LibDaemon/Asio.h
@@ -64,6 +64,32 @@
   return typename Protocol::endpoint(host, aAddress.mPort);
 }
 
+/// What a read from a socket would return now.
+enum class socket_state
+{
+  /// Nothing yet; the connection is open.
+  kIdle,
+  kReadable,
+  /// The peer has closed its side, or the connection failed.
+  kClosed,
+};
+
+/// Returns the state of a connected socket without reading from it.
+inline socket_state
+PeekSocket(tcp::socket& aSocket)
+{
+  boost::system::error_code code;
+  aSocket.non_blocking(true, code);
+  char byte = 0;
+  auto const size =
+    aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+  if (size > 0) {
+    return socket_state::kReadable;
+  }
+  return code == asio::error::would_block ? socket_state::kIdle
+                                          : socket_state::kClosed;
+}
+
 /// Wakes a waiting coroutine on the same thread. A notification without a
 /// waiter is lost, so a coroutine must check its condition before each wait.
 class signal
--- a/Libraries/LibDaemon/HttpFields.cpp
+++ b/Libraries/LibDaemon/HttpFields.cpp
@@ -1,9 +1,11 @@
 #include "LibDaemon/HttpFields.h"
 
 #include "LibCore/Address.h"
+#include "LibDaemon/Asio.h"
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <cmath>
 
@@ -80,6 +82,15 @@
   return ParseNumber<std::int64_t>(aText, kDecimal);
 }
 
+std::string
+MakeRequestId(core::instance_id const& aInstance)
+{
+  static std::atomic<std::uint64_t> sequence{ 0 };
+  return aInstance.mValue + "-" +
+         std::to_string(Now().time_since_epoch().count()) + "-" +
+         std::to_string(++sequence);
+}
+
 std::optional<double>
 ParseRate(std::string_view aText)
 {
--- a/Libraries/LibDaemon/HttpFields.h
+++ b/Libraries/LibDaemon/HttpFields.h
@@ -60,6 +60,10 @@
 std::optional<std::int64_t>
 ParseDecimal(std::string_view aText);
 
+/// Returns a new id for a request whose caller sent none.
+std::string
+MakeRequestId(core::instance_id const& aInstance);
+
 /// Parses a decimal number that is finite and not negative. Returns
 /// std::nullopt for anything else.
 std::optional<double>
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -41,15 +41,6 @@
   return !aCode || aCode == http::error::need_buffer;
 }
 
-std::string
-MakeRequestId(core::instance_id const& aInstance)
-{
-  static std::atomic<std::uint64_t> sequence{ 0 };
-  return aInstance.mValue + "-" +
-         std::to_string(Now().time_since_epoch().count()) + "-" +
-         std::to_string(++sequence);
-}
-
 /// One HTTP connection and its current request.
 class http_session : public std::enable_shared_from_this<http_session>
 {
@@ -416,17 +407,9 @@
     }
   }
 
-  /// Returns whether the caller has closed its side of the connection and
-  /// nothing is left to read.
   bool HasCallerLeft()
   {
-    auto& socket = mStream.socket();
-    char byte = 0;
-    beast::error_code code;
-    socket.non_blocking(true, code);
-    auto const size =
-      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-    return size == 0 && code != asio::error::would_block;
+    return PeekSocket(mStream.socket()) == socket_state::kClosed;
   }
 
   /// Stops the reader. Returns whether the request was read to its end.
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -23,18 +23,6 @@
 /// users' upstreams close idle connections.
 constexpr core::duration kDefaultKeepAlive = 8s;
 
-/// Returns whether a connection is open and has nothing to read. Bytes or the
-/// end of the stream mean that the upstream has closed it.
-bool
-IsStillIdle(tcp::socket& aSocket)
-{
-  boost::system::error_code code;
-  aSocket.non_blocking(true, code);
-  char byte = 0;
-  aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-  return code == asio::error::would_block;
-}
-
 task<std::shared_ptr<upstream_connection>>
 OpenConnection(asio::any_io_executor aExecutor, core::address aUpstream)
 {
@@ -83,7 +71,8 @@
       mIdleConnections.push_back(idle);
       break;
     }
-    if (IsStillIdle(idle.mConnection->mStream.socket())) {
+    // Bytes or the end of the stream mean that the upstream has closed it.
+    if (PeekSocket(idle.mConnection->mStream.socket()) == socket_state::kIdle) {
       co_return idle.mConnection;
     }
   }
--- a/Libraries/LibTraffic/AdmissionController.cpp
+++ b/Libraries/LibTraffic/AdmissionController.cpp
@@ -34,9 +34,9 @@
 /// An upstream that accepts nothing still gets a request at times, since only a
 /// response tells when its limit ends.
 constexpr double kMinimumRequestsPerSecond = 0.25;
-/// Calls at the start of an upstream or daemon until the first response tells
-/// whether there is a limit: low enough for every limit, and never zero, since
-/// the first calls may wait for other upstreams.
+/// Pace after a start of the upstream or daemon, until the first response tells
+/// whether there is a limit. It keeps limits from 2 on, and is not zero, since
+/// the first calls may wait for calls of theirs.
 constexpr double kUnknownLimitRequestsPerSecond = 10;
 constexpr double kUnknownLimitTokens = 2;
 
