StandInUpstream: Pick free ports below those of outgoing connections

Trace: replica1 ended at its start with step=open_listener peer=127.0.0.1:43765 code=unreachable: Address already in use, so that the group had one replica left after the planned kill.

--- a/Tests/Utilities/TestStandIn.cpp
+++ b/Tests/Utilities/TestStandIn.cpp
@@ -47,6 +47,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(StandIn, stand_in_fixture)
 
+// Guards against daemons of tests that cannot listen since an outgoing
+// connection of another process has taken their port.
+BOOST_AUTO_TEST_CASE(FreePortsAreBelowThoseOfOutgoingConnections)
+{
+  constexpr std::uint16_t kFirstPortOfOutgoingConnections = 32768;
+  for (auto const port : FreePorts(30)) {
+    BOOST_TEST(port < kFirstPortOfOutgoingConnections);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(FreePortsDiffer)
 {
   auto const ports = FreePorts(30);
--- a/Utilities/StandInUpstream/FreePorts.h
+++ b/Utilities/StandInUpstream/FreePorts.h
@@ -9,8 +9,8 @@
 /// Ports for tests and sample meshes.
 namespace cranberryfold::stand_in {
 
-/// Returns aCount different ports that the kernel chose and that are free for
-/// TCP and UDP on 127.0.0.1. Another process may take one before it is used.
+/// Returns aCount different random ports that are free for TCP and UDP on
+/// 127.0.0.1. Another process may listen on one before it is used.
 /// Fails with kUnreachable.
 core::result<std::vector<std::uint16_t>>
 FindFreePorts(std::size_t aCount);
