Tests: Share the loop over virtual time

TestStatedLimit repeated the loop of TestDeepOverload that runs due timers; RunTimers() in VirtualTime.h serves both.

--- a/Tests/LibTraffic/TestStatedLimit.cpp
+++ b/Tests/LibTraffic/TestStatedLimit.cpp
@@ -1,6 +1,7 @@
 #include "LibCore/Random.h"
 #include "LibCore/TimerService.h"
 #include "LibTraffic/AdmissionController.h"
+#include "VirtualTime.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -54,16 +55,7 @@
     }
   }
 
-  void Run(core::duration aDuration)
-  {
-    auto const end = mNow + aDuration;
-    while (mTimers.NextDue() && *mTimers.NextDue() <= end) {
-      mNow = *mTimers.NextDue();
-      mTimers.Advance(mNow);
-    }
-    mNow = end;
-    mTimers.Advance(mNow);
-  }
+  void Run(core::duration aDuration) { RunTimers(mTimers, mNow, aDuration); }
 
   void State(std::optional<double> aLimit)
   {
