--- a/Tests/Daemon/Mesh.cpp
+++ b/Tests/Daemon/Mesh.cpp
@@ -1,12 +1,16 @@
 #include "Daemon/Mesh.h"
 
+#include <algorithm>
 #include <filesystem>
+#include <stdexcept>
 
 namespace cranberryfold::test_support {
 
 namespace {
 
 constexpr std::size_t kPortsPerMember = 5;
+/// Of each process, in the message of a failure.
+constexpr std::size_t kMaximumOutputBytes = 4'096;
 
 constexpr std::string_view kTables = R"({
   "pools": [
@@ -46,7 +50,24 @@
   StartMember("stock", aStandInFlags);
   StartMember("spare", {});
   ApplyTables();
-  WaitForStock();
+  if (!WaitForStock()) {
+    throw std::runtime_error("the mesh does not get ready\n" + Outputs());
+  }
+}
+
+std::string
+mesh::Outputs() const
+{
+  std::string outputs;
+  for (auto const& [instance, started] : mMembers) {
+    for (auto const* const process :
+         { &started.mUpstream.value(), &started.mDaemon.value() }) {
+      auto const output = process->Output();
+      auto const size = std::min(output.size(), kMaximumOutputBytes);
+      outputs += instance + ":\n" + output.substr(output.size() - size) + "\n";
+    }
+  }
+  return outputs;
 }
 
 core::address
--- a/Tests/Daemon/Mesh.h
+++ b/Tests/Daemon/Mesh.h
@@ -14,7 +14,8 @@
 public:
   /// Starts all processes, applies the tables and waits until the order and
   /// stock daemons have installed them. aStandInFlags are appended to the flags
-  /// of the stock upstream.
+  /// of the stock upstream. Throws std::runtime_error with the ends of the
+  /// processes' outputs after the timeout of WaitUntil().
   explicit mesh(std::vector<std::string> const& aStandInFlags = {});
 
   core::address Caller(std::string const& aInstance) const;
@@ -47,6 +48,8 @@
                    std::vector<std::string> aStandInFlags);
   std::string SettingsOf(std::string const& aInstance) const;
   void ApplyTables() const;
+  /// The end of what each process has printed.
+  std::string Outputs() const;
 
   temporary_folder mFolder;
   std::vector<std::uint16_t> mPorts;
