StandInUpstream: Reserve the ports of a test for as long as it runs

Two tests that run at once drew random ports without knowledge of each other, and a port counted as free until a daemon listened on it, and again while that daemon was restarted.

Meta/run.sh keeps the program that reserved its ports until it ends.

PortsOfReservationsDiffer draws 30 times 60 ports.

--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -87,8 +87,10 @@
   done
 }
 
-mapfile -t ports < <("$bin/stand_in_upstream" --print_free_ports 30)
-[ "${#ports[@]}" -eq 30 ] || { echo "step=find_free_ports: no free ports" >&2; exit 1; }
+# The reservation ends with this script, which ends the program's input.
+coproc reservation { exec "$bin/stand_in_upstream" --reserve_ports 30; }
+mapfile -t -n 30 -u "${reservation[0]}" ports
+[ "${#ports[@]}" -eq 30 ] || { echo "step=reserve_ports: no free ports" >&2; exit 1; }
 instances=(order-1 stock-1 order-2 stock-2 order-3 stock-3)
 zones=(ljubljana-1 ljubljana-1 ljubljana-1 maribor-1 maribor-1 maribor-1)
 regions=(ljubljana ljubljana ljubljana maribor maribor maribor)
--- a/Tests/Daemon/Mesh.cpp
+++ b/Tests/Daemon/Mesh.cpp
@@ -39,7 +39,7 @@
 }
 
 mesh::mesh(std::vector<std::string> const& aStandInFlags)
-  : mPorts(FreePorts(3 * kPortsPerMember))
+  : mPorts(ReservePorts(3 * kPortsPerMember))
 {
   mMembers["order"].mFirstPort = 0;
   mMembers["stock"].mFirstPort = kPortsPerMember;
@@ -74,7 +74,7 @@
 mesh::AddressOf(std::string const& aInstance, std::size_t aOffset) const
 {
   return { "127.0.0.1",
-           mPorts.at(mMembers.at(aInstance).mFirstPort + aOffset) };
+           mPorts.Ports().at(mMembers.at(aInstance).mFirstPort + aOffset) };
 }
 
 core::address
--- a/Tests/Daemon/Mesh.h
+++ b/Tests/Daemon/Mesh.h
@@ -52,7 +52,7 @@
   std::string Outputs() const;
 
   temporary_folder mFolder;
-  std::vector<std::uint16_t> mPorts;
+  stand_in::port_reservation mPorts;
   std::map<std::string, member> mMembers;
 };
 
--- a/Tests/Daemon/TestControlGroup.cpp
+++ b/Tests/Daemon/TestControlGroup.cpp
@@ -28,7 +28,7 @@
 {
 public:
   control_group()
-    : mPorts(FreePorts(kReplicaCount * kPortsPerReplica))
+    : mPorts(ReservePorts(kReplicaCount * kPortsPerReplica))
   {
     for (std::size_t index = 0; index < kReplicaCount; ++index) {
       WriteFile(mFolder.File(Name(index) + ".json"), Settings(index));
@@ -100,7 +100,8 @@
 
   core::address Address(std::size_t aIndex, std::size_t aOffset) const
   {
-    return { "127.0.0.1", mPorts.at(aIndex * kPortsPerReplica + aOffset) };
+    return { "127.0.0.1",
+             mPorts.Ports().at(aIndex * kPortsPerReplica + aOffset) };
   }
 
   std::string Quoted(std::size_t aIndex, std::size_t aOffset) const
@@ -141,7 +142,7 @@
   }
 
   temporary_folder mFolder;
-  std::vector<std::uint16_t> mPorts;
+  stand_in::port_reservation mPorts;
   std::map<std::size_t, child_process> mDaemons;
 };
 
--- a/Tests/Daemon/TestEndlessAnswers.cpp
+++ b/Tests/Daemon/TestEndlessAnswers.cpp
@@ -106,7 +106,8 @@
 // daemon's own requests, such as health checks.
 BOOST_AUTO_TEST_CASE(EndlessResponseIsAbortedAtItsLimit)
 {
-  core::address const address{ "127.0.0.1", FreePorts(1).front() };
+  auto const reservation = ReservePorts(1);
+  core::address const address{ "127.0.0.1", reservation.Ports().front() };
   endless_server const server(address, { "HTTP/1.1 200 OK\r\n\r\n", "a" });
   auto const response = Send(address, kReadStock);
   BOOST_TEST(!response);
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -7,8 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <iterator>
-#include <sstream>
+#include <stdexcept>
 #include <thread>
 
 #include <boost/asio/co_spawn.hpp>
@@ -244,16 +243,15 @@
   raw_connection const connection(aPeer, aBytes);
 }
 
-std::vector<std::uint16_t>
-FreePorts(std::size_t aCount)
+stand_in::port_reservation
+ReservePorts(std::size_t aCount)
 {
-  temporary_folder const folder;
-  child_process helper("stand_in_upstream",
-                       { "--print_free_ports", std::to_string(aCount) },
-                       folder.File("ports"));
-  helper.WaitForExit();
-  std::istringstream text(helper.Output());
-  return { std::istream_iterator<std::uint16_t>(text), {} };
+  auto reservation =
+    core::Attempt([&] { return stand_in::port_reservation::Make(aCount); });
+  if (!reservation) {
+    throw std::runtime_error(core::FormatError(reservation.mError));
+  }
+  return std::move(*reservation);
 }
 
 }
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -3,6 +3,7 @@
 #include "LibCore/Address.h"
 #include "LibCore/Error.h"
 #include "LibHttp/Message.h"
+#include "PortReservation.h"
 
 #include <chrono>
 #include <functional>
@@ -100,8 +101,8 @@
 void
 SendBytes(core::address const& aPeer, std::string const& aBytes);
 
-/// Asks the free-port helper for ports.
-std::vector<std::uint16_t>
-FreePorts(std::size_t aCount);
+/// Reserves ports for processes. Throws std::runtime_error.
+stand_in::port_reservation
+ReservePorts(std::size_t aCount);
 
 }
--- a/Tests/Utilities/TestClient.cpp
+++ b/Tests/Utilities/TestClient.cpp
@@ -110,8 +110,9 @@
 // Guards against a client that hangs or aborts when no daemon is there.
 BOOST_AUTO_TEST_CASE(UnreachableDaemonGivesFive)
 {
-  auto const port = FreePorts(1).at(0);
-  auto const address = "127.0.0.1:" + std::to_string(port);
+  auto const reservation = ReservePorts(1);
+  auto const address =
+    "127.0.0.1:" + std::to_string(reservation.Ports().front());
   auto const run = Apply(address);
   BOOST_TEST(run.mStatus.value_or(-1) == 5);
   BOOST_TEST(Contains(run.mOutput, "step=connect peer=" + address));
--- a/Tests/Utilities/TestStandIn.cpp
+++ b/Tests/Utilities/TestStandIn.cpp
@@ -49,19 +49,35 @@
 
 // Guards against daemons of tests that cannot listen since an outgoing
 // connection of another process has taken their port.
-BOOST_AUTO_TEST_CASE(FreePortsAreBelowThoseOfOutgoingConnections)
+BOOST_AUTO_TEST_CASE(ReservedPortsAreBelowThoseOfOutgoingConnections)
 {
   constexpr std::uint16_t kFirstPortOfOutgoingConnections = 32768;
-  for (auto const port : FreePorts(30)) {
+  auto const reservation = ReservePorts(30);
+  for (auto const port : reservation.Ports()) {
     BOOST_TEST(port < kFirstPortOfOutgoingConnections);
   }
 }
 
-BOOST_AUTO_TEST_CASE(FreePortsDiffer)
+// Guards against daemons that cannot listen since another test has the same
+// port and nothing listens on it yet.
+BOOST_AUTO_TEST_CASE(PortsOfReservationsDiffer)
 {
-  auto const ports = FreePorts(30);
-  BOOST_TEST(ports.size() == 30U);
-  BOOST_TEST(std::set(ports.begin(), ports.end()).size() == 30U);
+  std::vector<stand_in::port_reservation> reservations;
+  std::set<std::uint16_t> ports;
+  for (std::size_t index = 0; index < 30; ++index) {
+    reservations.push_back(ReservePorts(60));
+    auto const& added = reservations.back().Ports();
+    ports.insert(added.begin(), added.end());
+  }
+  BOOST_TEST(ports.size() == 30U * 60U);
+}
+
+// Guards against ports that stay reserved, so that none are left.
+BOOST_AUTO_TEST_CASE(ReservationsEndWithTheirObjects)
+{
+  for (std::size_t index = 0; index < 30; ++index) {
+    BOOST_TEST(ReservePorts(1'000).Ports().size() == 1'000U);
+  }
 }
 
 // Guards against lost, repeated or reordered chunks in the shared HTTP code.
--- a/Utilities/StandInUpstream/Main.cpp
+++ b/Utilities/StandInUpstream/Main.cpp
@@ -1,5 +1,5 @@
-#include "FreePorts.h"
 #include "LibCore/Log.h"
+#include "PortReservation.h"
 #include "Service.h"
 
 #include <cstdio>
@@ -11,7 +11,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <gflags/gflags.h>
 
-DEFINE_uint32(print_free_ports, 0, "Print this many free ports and exit.");
+DEFINE_uint32(reserve_ports,
+              0,
+              "Print this many free ports, and reserve them until the standard "
+              "input ends.");
 DEFINE_string(listen, "127.0.0.1:0", "Address to listen on.");
 DEFINE_string(instance, "stand-in", "Name in responses and in the journal.");
 DEFINE_string(service, "stand-in", "Service name in responses.");
@@ -106,17 +109,20 @@
 }
 
 int
-PrintFreePorts()
+ReservePorts()
 {
-  auto const ports =
-    core::Attempt([] { return FindFreePorts(FLAGS_print_free_ports); });
-  if (!ports) {
-    std::fprintf(stderr, "%s\n", core::FormatError(ports.mError).c_str());
+  auto const reservation =
+    core::Attempt([] { return port_reservation::Make(FLAGS_reserve_ports); });
+  if (!reservation) {
+    std::fprintf(stderr, "%s\n", core::FormatError(reservation.mError).c_str());
     return kExitUnreachable;
   }
-  for (auto const port : *ports) {
+  for (auto const port : reservation->Ports()) {
     std::printf("%u\n", port);
   }
+  std::fflush(stdout);
+  while (std::getchar() != EOF) {
+  }
   return 0;
 }
 
@@ -177,8 +183,8 @@
   gflags::SetUsageMessage("stands in for a back end of cranberryfold");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
   core::InitializeLog(core::log_level::kInfo);
-  if (FLAGS_print_free_ports > 0) {
-    return PrintFreePorts();
+  if (FLAGS_reserve_ports > 0) {
+    return ReservePorts();
   }
   auto const settings = core::Attempt([] { return ReadFlags(); });
   if (!settings) {
