--- a/Tests/RandomRun/TestControlRun.cpp
+++ b/Tests/RandomRun/TestControlRun.cpp
@@ -79,6 +79,18 @@
   }
 }
 
+// Guards against groups that do not reach or keep their size by themselves.
+BOOST_AUTO_TEST_CASE(GroupsFormByThemselves)
+{
+  for (std::string const instances : { "3", "6", "9" }) {
+    for (std::string const seed : { "1", "2", "3", "4" }) {
+      auto const outcome =
+        RunControl("--instances " + instances + " --seed " + seed);
+      BOOST_TEST(outcome.mExitCode == 0, outcome.mOutput);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SameSeedGivesTheSameRun)
 {
   auto const arguments = "--seed 5 --steps 3000";
--- a/Utilities/RandomRun/ControlCommand.cpp
+++ b/Utilities/RandomRun/ControlCommand.cpp
@@ -5,6 +5,13 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include <gflags/gflags.h>
+
+DEFINE_uint64(instances,
+              0,
+              "control: Instances of which the group forms, grows and is "
+              "replaced by itself; 0 for a group that only operators change.");
+
 namespace cranberryfold::random_run {
 
 namespace {
@@ -45,7 +52,7 @@
     std::fprintf(stderr, "\n");
     return 2;
   }
-  control_run run(aOptions);
+  control_run run(aOptions, FLAGS_instances);
   sRunning = &run;
   std::signal(SIGABRT, OnAbort);
   try {
--- a/Utilities/RandomRun/ControlOperators.cpp
+++ b/Utilities/RandomRun/ControlOperators.cpp
@@ -1,5 +1,7 @@
 #include "ControlRun.h"
 
+#include "LibControl/GroupChangePolicy.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -96,6 +98,35 @@
   return tables::remove_replica{ chosen };
 }
 
+void
+control_run::MaintainGroup()
+{
+  auto const* const leader = LeaderNode();
+  if (leader == nullptr || mNow < leader->mFrozenUntil) {
+    return;
+  }
+  auto const status = leader->mReplica->Status(mNow + leader->mClockOffset);
+  std::map<core::instance_id, core::address> live;
+  for (auto const& [instance, entry] : mNodes) {
+    if (entry.mReplica) {
+      live.emplace(instance, core::address{ "10.0.0.1", 1 });
+    }
+  }
+  auto change = control::ProposeGroupChange(status, live);
+  if (!change || !status.mLeaseValid) {
+    return;
+  }
+  control::submission_id const submission{ ++mLastNumber };
+  tables::edit const edit{ { "system" + std::to_string(mLastNumber) },
+                           status.mRevision,
+                           { std::move(*change) } };
+  // No operator waits for the answer.
+  mSubmissions[submission] = { 0, edit.mId };
+  ++mGroupChanges;
+  Deliver(mNodes[leader->mInstance],
+          control::edit_submitted{ submission, edit, std::nullopt });
+}
+
 void
 control_run::Submit(std::size_t aOperator)
 {
--- a/Utilities/RandomRun/ControlRun.cpp
+++ b/Utilities/RandomRun/ControlRun.cpp
@@ -16,10 +16,13 @@
 constexpr double kFaultChance = 0.02;
 constexpr core::duration kOperatorInterval = std::chrono::milliseconds(50);
 constexpr core::duration kObserverInterval = std::chrono::seconds(1);
+constexpr core::duration kGroupChangeInterval = std::chrono::milliseconds(500);
 /// Bound for convergence after the last fault, of the design page.
 constexpr core::duration kConvergenceTime = std::chrono::seconds(9);
 /// Part of that time in which edits still arrive.
 constexpr core::duration kEditingTime = std::chrono::milliseconds(8500);
+/// Enough to add or replace each member of the largest group.
+constexpr core::duration kGroupFormationTime = std::chrono::seconds(30);
 /// A replica that heard from nobody for this long must not raise its term.
 constexpr core::duration kSilence = std::chrono::seconds(1);
 
@@ -35,8 +38,9 @@
            "pre_vote" };
 }
 
-control_run::control_run(run_options aOptions)
+control_run::control_run(run_options aOptions, std::size_t aInstances)
   : mOptions(std::move(aOptions))
+  , mInstances(aInstances)
   , mRandom(mOptions.mSeed)
   , mChecks(mTrace)
   , mNetwork(mRandom)
@@ -49,9 +53,11 @@
 control_run::Build()
 {
   mGroupSize = 3 + mRandom.Below(3);
+  auto const nodes = mInstances > 0 ? mInstances : mGroupSize + kSpares;
+  mGroupSize = std::min(mGroupSize, nodes);
   mAllowAnyLoss = mRandom.Chance(0.2);
   control::replica_group group;
-  for (std::size_t index = 0; index < mGroupSize + kSpares; ++index) {
+  for (std::size_t index = 0; index < nodes; ++index) {
     core::instance_id const instance{ "r" + std::to_string(index) };
     mNodes[instance].mInstance = instance;
     if (index < mGroupSize) {
@@ -75,6 +81,11 @@
       Operate(index);
     });
   }
+  if (mInstances > 0) {
+    mTimers.Every(mNow, kGroupChangeInterval, [this](core::time_point) {
+      MaintainGroup();
+    });
+  }
   mTimers.Every(
     mNow, kObserverInterval, [this](core::time_point) { Observe(); });
 }
@@ -100,7 +111,29 @@
     mChecks.Check(mChecks.AcceptedEdits() > accepted,
                   "no edit was accepted after the faults stopped");
     CheckConverged();
+    CheckGroupIsFull();
+  }
+}
+
+void
+control_run::CheckGroupIsFull()
+{
+  if (mInstances == 0) {
+    return;
+  }
+  auto const until = mNow + kGroupFormationTime;
+  while (mNow < until) {
+    Step();
+  }
+  auto const* const leader = LeaderNode();
+  mChecks.Check(leader != nullptr, "no leader while the group forms");
+  std::size_t voters = 0;
+  for (auto const& [instance, member] :
+       leader->mReplica->Status(mNow + leader->mClockOffset).mGroup) {
+    voters += member.mVoter ? 1 : 0;
   }
+  mChecks.Check(voters == std::min(mInstances, control::kMaximumReplicas),
+                "the group forms with " + std::to_string(voters) + " voters");
 }
 
 void
@@ -462,6 +495,9 @@
           " messages=" + std::to_string(counters.mSent);
   text += " elections=" + std::to_string(mElections) +
           " admissions=" + std::to_string(mAdmissions);
+  if (mInstances > 0) {
+    text += " group_changes=" + std::to_string(mGroupChanges);
+  }
   return text + " accepted=" + std::to_string(mChecks.AcceptedEdits()) +
          " acknowledged=" + std::to_string(mChecks.Acknowledged().mValue) +
          (mTooManyLosses ? " convergence=not_checked" : "");
--- a/Utilities/RandomRun/ControlRun.h
+++ b/Utilities/RandomRun/ControlRun.h
@@ -21,7 +21,9 @@
 class control_run
 {
 public:
-  explicit control_run(run_options aOptions);
+  /// aInstances is the number of instances of which the group forms by itself,
+  /// or 0 for a group that only operators change.
+  explicit control_run(run_options aOptions, std::size_t aInstances = 0);
 
   /// Runs to the end. Throws a violation when an invariant does not hold.
   void Run();
@@ -119,8 +121,12 @@
   void RestartLater(node& aNode);
   bool CanLoseDisk(node const& aNode) const;
   void CheckConverged();
+  /// Checks that a group that forms by itself reaches its full size.
+  void CheckGroupIsFull();
 
   // Operators and observers (ControlOperators.cpp).
+  /// Submits the change that the leader proposes for its group, if any.
+  void MaintainGroup();
   void Operate(std::size_t aOperator);
   void MakeEdit(operator_state& aOperator);
   tables::edit RandomEdit(core::revision aBase);
@@ -136,6 +142,7 @@
   node const* LeaderNode() const;
 
   run_options mOptions;
+  std::size_t mInstances = 0;
   core::random_source mRandom;
   event_trace mTrace;
   control_checks mChecks;
@@ -152,6 +159,7 @@
   std::uint64_t mElections = 0;
   /// Replicas that a leader admitted: added ones and ones under repair.
   std::uint64_t mAdmissions = 0;
+  std::uint64_t mGroupChanges = 0;
   std::uint64_t mLastNumber = 0;
   std::size_t mGroupSize = 0;
   core::time_point mNow{};
