LibDaemon: Log failed responses with their route and upstream

A response with a status of 500 or more is now an event of its own, request_failed; both events name the route and the upstream that responded.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -19,7 +19,6 @@
 /// running it. If the whole service is overloaded, each of them adds a useless
 /// hop.
 constexpr std::uint32_t kMaximumTransparentRetries = 3;
-constexpr std::uint32_t kFirstServerError = 500;
 /// Time after the deadline in which the daemon beside the upstream may still
 /// report the outcome, since only it knows whether the call has run. Covers two
 /// one-way delays between regions, 20 ms each at the users' sites, and the
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -50,6 +50,9 @@
   std::function<task<bool>(std::string_view, bool)> mWriteChunk;
 };
 
+/// Lowest status that tells a failure of the upstream.
+inline constexpr std::uint32_t kFirstServerError = 500;
+
 /// Outcome of a routed request.
 struct call_result
 {
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -341,7 +341,7 @@
     }
     Outgoing().mMetrics.CountResponse(
       mClass, mResponse->result_int(), mResponseStarted - mStarted);
-    LogResponse(context.mRequest, result);
+    LogResponse(context, result);
     // A truncated response must not look complete, so the connection is closed
     // before the announced length or the last chunk was sent.
     co_return result.mIsComplete&& bodyWasRead && mResponse->keep_alive();
@@ -429,6 +429,7 @@
                        core::instance_id const& aInstance)
   {
     mResponseStarted = Now();
+    mRespondingInstance = aInstance;
     mResponse.emplace();
     mResponse->version(mParser->get().version());
     mResponse->result(aHead.mStatus);
@@ -520,13 +521,25 @@
       .Field("age_ms", core::Milliseconds(Now() - mStarted));
   }
 
-  void LogResponse(core::request_id const& aRequest,
+  /// Failures have an event of their own, so that its limit of lines is not
+  /// used up by other responses.
+  std::string_view ResponseEvent(call_result const& aResult) const
+  {
+    if (!aResult.mIsComplete) {
+      return "request_cut_off";
+    }
+    bool const hasFailed = mResponse->result_int() >= kFirstServerError;
+    return hasFailed ? "request_failed" : "request_answered";
+  }
+
+  void LogResponse(traffic::call_context const& aContext,
                    call_result const& aResult) const
   {
-    auto line = core::LogInfo(aResult.mIsComplete ? "request_answered"
-                                                  : "request_cut_off");
-    line.Field("request", aRequest.mValue)
+    auto line = core::LogInfo(ResponseEvent(aResult));
+    line.Field("request", aContext.mRequest.mValue)
       .Field("nested", mIsNested ? "yes" : "no")
+      .Field("route", aContext.mRoute)
+      .Field("upstream", mRespondingInstance.mValue)
       .Field("status", mResponse->result_int())
       .Field("answered_ms", core::Milliseconds(mResponseStarted - mStarted))
       .Field("age_ms", core::Milliseconds(Now() - mStarted));
@@ -575,6 +588,7 @@
   core::time_point mStarted;
   /// When the head of the response was sent.
   core::time_point mResponseStarted;
+  core::instance_id mRespondingInstance;
   bool mIsNested = false;
   /// Whether this daemon is the root of the request and holds its retry budget.
   bool mOwnsBudget = true;
--- a/Tests/Daemon/TestRequests.cpp
+++ b/Tests/Daemon/TestRequests.cpp
@@ -21,6 +21,12 @@
   return { { "POST", "/deposits", std::move(aHeaders) }, "" };
 }
 
+http::request
+PlaceOrder(std::string const& aKey)
+{
+  return { { "POST", "/orders", { { "idempotency-key", aKey } } }, "" };
+}
+
 bool
 Contains(std::string const& aText, std::string_view aPart)
 {
@@ -89,6 +95,27 @@
 
 BOOST_AUTO_TEST_SUITE(Requests)
 
+// Guards against a failure that the log leaves out since successful requests
+// have used up its limit of lines.
+BOOST_AUTO_TEST_CASE(FailedRequestIsLoggedBesideManyOthers)
+{
+  constexpr int kRequestsBeyondLimit = 30;
+  mesh running;
+  SendOnceClaimable(running.Caller("order"), PlaceOrder("z1/placed"));
+  running.Daemon("stock").Signal(SIGKILL);
+  for (int request = 0; request < kRequestsBeyondLimit; ++request) {
+    Send(running.Caller("order"), PlaceOrder("z1/placed"));
+  }
+  auto const failed = Send(running.Caller("order"), PlaceOrder("z1/failed"));
+  BOOST_TEST_REQUIRE(static_cast<bool>(failed));
+  BOOST_TEST(failed->mHead.mStatus >= 500);
+  auto const output = running.Daemon("order").Output();
+  auto const line = output.find("event=request_failed");
+  BOOST_TEST_REQUIRE(line != std::string::npos, output);
+  auto const text = output.substr(line, output.find('\n', line) - line);
+  BOOST_TEST(Contains(text, "route=order upstream=order status="), text);
+}
+
 // Guards against calls that only reach the daemon's own upstream.
 BOOST_AUTO_TEST_CASE(PassThroughTwoDaemons)
 {
@@ -97,9 +124,8 @@
   BOOST_REQUIRE(read);
   BOOST_TEST(read->mHead.mStatus == 200U);
   BOOST_TEST(Contains(read->mBody, "\"instance\":\"stock\""));
-  auto const order = SendOnceClaimable(
-    running.Caller("stock"),
-    { { "POST", "/orders", { { "idempotency-key", "z1/order" } } }, "" });
+  auto const order =
+    SendOnceClaimable(running.Caller("stock"), PlaceOrder("z1/order"));
   BOOST_REQUIRE(order);
   BOOST_TEST_INFO(order->mBody);
   BOOST_TEST(order->mHead.mStatus == 200U);
