LibDaemon: Let requests wait for what a starting daemon does not know yet

Refused calls of an upstream failed the requests above them, which had run.

In the first second after its start a daemon now lets such requests wait, up to their deadlines; nothing of them has run meanwhile. Later a missing upstream is refused at once, as before.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -62,6 +62,10 @@
       Now(), mRequest.mContext, mRequest.mPool, mTriedInstances);
     call_result result;
     if (auto const* const refused = std::get_if<call_refusal>(&choice)) {
+      if (MustWaitForStart(*refused)) {
+        co_await mSignal.Wait(Now() + kStartPollInterval);
+        continue;
+      }
       result.mRefusal = *refused;
       mServices.mMetrics.CountRefusal(refusal_place::kSender, refused->mReason);
     } else {
@@ -82,6 +86,14 @@
   }
 }
 
+bool
+call_runner::MustWaitForStart(call_refusal const& aRefusal) const
+{
+  return aRefusal.mReason == refusal_reason::kNoUpstream && mAttempts == 0 &&
+         !mIsAbandoned && Now() < mRequest.mContext.mDeadline &&
+         mServices.mPolicy.IsStarting(Now());
+}
+
 task<bool>
 call_runner::PrepareRetry(call_refusal const& aRefusal)
 {
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -50,6 +50,10 @@
   std::function<task<bool>(std::string_view, bool)> mWriteChunk;
 };
 
+/// How often a request that waits for a starting daemon looks again.
+inline constexpr core::duration kStartPollInterval =
+  std::chrono::milliseconds(20);
+
 /// Lowest status that tells a failure of the upstream.
 inline constexpr std::uint32_t kFirstServerError = 500;
 
@@ -93,6 +97,9 @@
   void Abandon();
 
 private:
+  /// Returns whether a request without an upstream waits for the daemon to
+  /// learn of one.
+  bool MustWaitForStart(call_refusal const& aRefusal) const;
   task<call_result> Attempt(traffic::chosen_upstream const& aChosen);
   task<call_result> ProcessStreamEvents(
     traffic::chosen_upstream const& aChosen,
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -151,6 +151,17 @@
     co_await http::async_write(mStream, response, kAsTuple);
   }
 
+  /// Waits until there are routes if the daemon has just started.
+  task<void> WaitForTables()
+  {
+    asio::steady_timer timer(Outgoing().mExecutor);
+    while (!Outgoing().mPolicy.View()->HasRoutes() &&
+           Outgoing().mPolicy.IsStarting(Now())) {
+      timer.expires_after(kStartPollInterval);
+      co_await timer.async_wait(kAsTuple);
+    }
+  }
+
   task<bool> Serve()
   {
     mStarted = Now();
@@ -159,6 +170,7 @@
       DropRequest();
       co_return false;
     }
+    co_await WaitForTables();
     auto const view = Outgoing().mPolicy.View();
     auto const& message = mParser->get();
     auto const method = std::string(message.method_string());
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -15,6 +15,10 @@
 /// Suggested wait if there is no estimate.
 constexpr core::duration kDefaultRetryAfter = std::chrono::seconds(1);
 
+/// Within this time after its start a daemon has learned tables and members,
+/// also if all others start at once.
+constexpr core::duration kStartTime = std::chrono::seconds(1);
+
 traffic::candidate
 ToCandidate(routing_member const& aMember)
 {
@@ -40,6 +44,7 @@
   , mRandom(aSeed)
   , mView(std::make_shared<routing_view const>())
   , mAdmission(aNow)
+  , mStarted(aNow)
 {
   mLocalPool.mService = mSettings.mUpstream.mService;
   mUpstream.mSlots = mSettings.mUpstream.mSlots;
@@ -431,6 +436,12 @@
   RunCallbacks(callbacks);
 }
 
+bool
+traffic_policy::IsStarting(core::time_point aNow) const
+{
+  return aNow < mStarted + kStartTime;
+}
+
 bool
 traffic_policy::IsDraining() const
 {
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -102,6 +102,9 @@
   /// Returns whether the time for which a draining daemon still serves callers
   /// has passed.
   bool IsRefusingCallers(core::time_point aNow) const;
+  /// Returns whether the daemon started so recently that it may still have to
+  /// learn tables and members from others.
+  bool IsStarting(core::time_point aNow) const;
   bool IsUpstreamReady() const;
   /// Returns the number of calls that run at the local upstream or wait for
   /// admission to it.
@@ -215,6 +218,7 @@
   /// Empty until the present process of the upstream has responded.
   std::optional<traffic::upstream_condition> mCondition;
   std::uint64_t mAdmittedCalls = 0;
+  core::time_point mStarted;
   bool mIsDraining = false;
   core::time_point mDrainStarted;
 };
--- a/Tests/Daemon/Mesh.cpp
+++ b/Tests/Daemon/Mesh.cpp
@@ -107,6 +107,15 @@
   return AddressOf(aInstance, 4);
 }
 
+void
+mesh::RestartDaemon(std::string const& aInstance)
+{
+  std::vector<std::string> const flags{ "--settings",
+                                        mFolder.File(aInstance + ".json") };
+  mMembers.at(aInstance).mDaemon.emplace(
+    "cranberryfold_daemon", flags, mFolder.File(aInstance + ".log"));
+}
+
 child_process&
 mesh::Daemon(std::string const& aInstance)
 {
--- a/Tests/Daemon/Mesh.h
+++ b/Tests/Daemon/Mesh.h
@@ -24,6 +24,9 @@
   core::address Peer(std::string const& aInstance) const;
   core::address UpstreamAddress(std::string const& aInstance) const;
 
+  /// Starts the daemon of an instance again. It must have ended.
+  void RestartDaemon(std::string const& aInstance);
+
   child_process& Daemon(std::string const& aInstance);
   child_process& Upstream(std::string const& aInstance);
 
--- a/Tests/Daemon/TestRequests.cpp
+++ b/Tests/Daemon/TestRequests.cpp
@@ -21,6 +21,9 @@
   return { { "POST", "/deposits", std::move(aHeaders) }, "" };
 }
 
+/// Enough for a request to be read.
+constexpr std::chrono::milliseconds kRequestOnItsWay{ 100 };
+
 http::request
 PlaceOrder(std::string const& aKey)
 {
@@ -95,6 +98,33 @@
 
 BOOST_AUTO_TEST_SUITE(Requests)
 
+// Guards against requests that are refused since a daemon that has just started
+// knows no routes or upstreams yet.
+BOOST_AUTO_TEST_CASE(StartingDaemonServesItsFirstRequests)
+{
+  mesh running;
+  auto const signalOthers = [&](int aSignal) {
+    running.Daemon("order").Signal(aSignal);
+    running.Daemon("stock").Signal(aSignal);
+  };
+  // The request arrives while nobody can tell the daemon its tables. On a
+  // loaded machine the others may resume too late for one round.
+  BOOST_TEST(WaitUntil([&] {
+    running.Daemon("spare").Signal(SIGKILL);
+    running.Daemon("spare").WaitForExit();
+    signalOthers(SIGSTOP);
+    running.RestartDaemon("spare");
+    WaitUntil([&] { return CanConnect(running.Caller("spare")); });
+    auto pending = std::async(std::launch::async, [&] {
+      return Send(running.Caller("spare"), kReadStock);
+    });
+    pending.wait_for(kRequestOnItsWay);
+    signalOthers(SIGCONT);
+    auto const response = pending.get();
+    return response && response->mHead.mStatus == 200;
+  }));
+}
+
 // Guards against a failure that the log leaves out since successful requests
 // have used up its limit of lines.
 BOOST_AUTO_TEST_CASE(FailedRequestIsLoggedBesideManyOthers)
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -243,6 +243,16 @@
   raw_connection const connection(aPeer, aBytes);
 }
 
+bool
+CanConnect(core::address const& aPeer)
+{
+  asio::io_context context(1);
+  asio::ip::tcp::socket socket(context);
+  boost::system::error_code code;
+  socket.connect({ asio::ip::make_address(aPeer.mHost), aPeer.mPort }, code);
+  return !code;
+}
+
 stand_in::port_reservation
 ReservePorts(std::size_t aCount)
 {
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -101,6 +101,10 @@
 void
 SendBytes(core::address const& aPeer, std::string const& aBytes);
 
+/// Returns whether a process listens at aPeer.
+bool
+CanConnect(core::address const& aPeer);
+
 /// Reserves ports for processes. Throws std::runtime_error.
 stand_in::port_reservation
 ReservePorts(std::size_t aCount);
