LibDaemon: Look for departed callers after the wait for tables

The look now comes after it, directly before the request is routed.

StartingDaemonDropsRequestsOfDepartedCallers guards it.

--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -165,12 +165,12 @@
   task<bool> Serve()
   {
     mStarted = Now();
+    co_await WaitForTables();
     if (mBuffer.size() == 0 && HasCallerLeft()) {
       // A busy daemon may read a request long after it was sent.
       DropRequest();
       co_return false;
     }
-    co_await WaitForTables();
     auto const view = Outgoing().mPolicy.View();
     auto const& message = mParser->get();
     auto const method = std::string(message.method_string());
--- a/Tests/Daemon/TestRequests.cpp
+++ b/Tests/Daemon/TestRequests.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <future>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -94,6 +95,25 @@
   return pending;
 }
 
+/// Starts the daemon of an instance again while nobody can tell it its tables.
+void
+StartWithoutOthers(mesh& aMesh, std::string const& aInstance)
+{
+  aMesh.Daemon(aInstance).Signal(SIGKILL);
+  aMesh.Daemon(aInstance).WaitForExit();
+  aMesh.Daemon("order").Signal(SIGSTOP);
+  aMesh.Daemon("stock").Signal(SIGSTOP);
+  aMesh.RestartDaemon(aInstance);
+  WaitUntil([&] { return CanConnect(aMesh.Caller(aInstance)); });
+}
+
+void
+ResumeOthers(mesh& aMesh)
+{
+  aMesh.Daemon("order").Signal(SIGCONT);
+  aMesh.Daemon("stock").Signal(SIGCONT);
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(Requests)
@@ -103,28 +123,38 @@
 BOOST_AUTO_TEST_CASE(StartingDaemonServesItsFirstRequests)
 {
   mesh running;
-  auto const signalOthers = [&](int aSignal) {
-    running.Daemon("order").Signal(aSignal);
-    running.Daemon("stock").Signal(aSignal);
-  };
-  // The request arrives while nobody can tell the daemon its tables. On a
-  // loaded machine the others may resume too late for one round.
+  // On a loaded machine the others may resume too late for one round.
   BOOST_TEST(WaitUntil([&] {
-    running.Daemon("spare").Signal(SIGKILL);
-    running.Daemon("spare").WaitForExit();
-    signalOthers(SIGSTOP);
-    running.RestartDaemon("spare");
-    WaitUntil([&] { return CanConnect(running.Caller("spare")); });
+    StartWithoutOthers(running, "spare");
     auto pending = std::async(std::launch::async, [&] {
       return Send(running.Caller("spare"), kReadStock);
     });
     pending.wait_for(kRequestOnItsWay);
-    signalOthers(SIGCONT);
+    ResumeOthers(running);
     auto const response = pending.get();
     return response && response->mHead.mStatus == 200;
   }));
 }
 
+// Guards against running requests whose callers have left while the requests
+// waited for a starting daemon.
+BOOST_AUTO_TEST_CASE(StartingDaemonDropsRequestsOfDepartedCallers)
+{
+  mesh running;
+  StartWithoutOthers(running, "spare");
+  {
+    raw_connection const caller(running.Caller("spare"),
+                                "GET /stock/left HTTP/1.1\r\nhost: x\r\n\r\n");
+    std::this_thread::sleep_for(kRequestOnItsWay);
+  }
+  ResumeOthers(running);
+  BOOST_TEST(WaitUntil([&] {
+    auto const response = Send(running.Caller("spare"), kReadStock);
+    return response && response->mHead.mStatus == 200;
+  }));
+  BOOST_TEST(!Contains(running.Journal("stock"), "/stock/left"));
+}
+
 // Guards against a failure that the log leaves out since successful requests
 // have used up its limit of lines.
 BOOST_AUTO_TEST_CASE(FailedRequestIsLoggedBesideManyOthers)
