--- a/Tests/Daemon/TestRequests.cpp
+++ b/Tests/Daemon/TestRequests.cpp
@@ -169,8 +169,14 @@
   auto const failed = Send(running.Caller("order"), PlaceOrder("z1/failed"));
   BOOST_TEST_REQUIRE(static_cast<bool>(failed));
   BOOST_TEST(failed->mHead.mStatus >= 500);
-  auto const output = running.Daemon("order").Output();
-  auto const line = output.find("event=request_failed");
+  // The line is written after the response.
+  std::string output;
+  auto line = std::string::npos;
+  WaitUntil([&] {
+    output = running.Daemon("order").Output();
+    line = output.find("event=request_failed");
+    return line != std::string::npos;
+  });
   BOOST_TEST_REQUIRE(line != std::string::npos, output);
   auto const text = output.substr(line, output.find('\n', line) - line);
   BOOST_TEST(Contains(text, "route=order upstream=order status="), text);
