--- a/Tests/RandomRun/TestControlRun.cpp
+++ b/Tests/RandomRun/TestControlRun.cpp
@@ -84,8 +84,9 @@
 {
   for (std::string const instances : { "3", "6", "9" }) {
     for (std::string const seed : { "1", "2", "3", "4" }) {
-      auto const outcome =
-        RunControl("--instances " + instances + " --seed " + seed);
+      auto arguments = "--instances " + instances;
+      arguments += " --seed " + seed;
+      auto const outcome = RunControl(arguments);
       BOOST_TEST(outcome.mExitCode == 0, outcome.mOutput);
     }
   }
