LibDaemon: Keep the wait for tables off the path of later requests

The clock is now looked at first, and the timer is made only to wait. What a starting daemon does is unchanged (Requests/StartingDaemon*). The cost was not measured.

--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -151,13 +151,12 @@
     co_await http::async_write(mStream, response, kAsTuple);
   }
 
-  /// Waits until there are routes if the daemon has just started.
+  /// Waits until there are routes or the daemon is no longer starting.
   task<void> WaitForTables()
   {
-    asio::steady_timer timer(Outgoing().mExecutor);
-    while (!Outgoing().mPolicy.View()->HasRoutes() &&
-           Outgoing().mPolicy.IsStarting(Now())) {
-      timer.expires_after(kStartPollInterval);
+    while (Outgoing().mPolicy.IsStarting(Now()) &&
+           !Outgoing().mPolicy.View()->HasRoutes()) {
+      asio::steady_timer timer(Outgoing().mExecutor, kStartPollInterval);
       co_await timer.async_wait(kAsTuple);
     }
   }
