LibMembership: Compare the start times of reports in one place

IsOutdated and IsOfPresentProcess each decided whether both start times are known and differ. HasOtherStart does so for both; behaviour is unchanged (LibMembership/UpstreamTracker/*).

--- a/Libraries/LibMembership/UpstreamTracker.cpp
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -37,9 +37,7 @@
   if (mStatus.mId.IsEmpty()) {
     return false;
   }
-  bool const canCompareStarts =
-    aReport.mStartMilliseconds != 0 && mStartMilliseconds != 0;
-  if (canCompareStarts && aReport.mStartMilliseconds != mStartMilliseconds) {
+  if (HasOtherStart(aReport)) {
     return aReport.mStartMilliseconds < mStartMilliseconds;
   }
   if (aReport.mId != mStatus.mId) {
@@ -59,11 +57,14 @@
 bool
 upstream_tracker::IsOfPresentProcess(upstream_report const& aReport) const
 {
-  bool const canCompareStarts =
-    aReport.mStartMilliseconds != 0 && mStartMilliseconds != 0;
-  return aReport.mId == mStatus.mId &&
-         (!canCompareStarts ||
-          aReport.mStartMilliseconds == mStartMilliseconds);
+  return aReport.mId == mStatus.mId && !HasOtherStart(aReport);
+}
+
+bool
+upstream_tracker::HasOtherStart(upstream_report const& aReport) const
+{
+  return aReport.mStartMilliseconds != 0 && mStartMilliseconds != 0 &&
+         aReport.mStartMilliseconds != mStartMilliseconds;
 }
 
 report_outcome
--- a/Libraries/LibMembership/UpstreamTracker.h
+++ b/Libraries/LibMembership/UpstreamTracker.h
@@ -88,6 +88,8 @@
   bool IsOutdated(upstream_report const& aReport) const;
   void ApplyLeaving();
   bool IsOfPresentProcess(upstream_report const& aReport) const;
+  /// Returns whether both start times are known and differ.
+  bool HasOtherStart(upstream_report const& aReport) const;
 
   core::address mAddress;
   core::service_id mService;
