--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -15,27 +15,9 @@
 machine app-6 16 zone-c region-b catalogue
 apps=(app-1 app-2 app-3 app-4 app-5 app-6)
 
-# tables FILE VERSION SERVICE_OF_ORDERS SERVICES...
-tables() {
-  local file=$1 version=$2 target=$3 rows="" service
-  shift 3
-  for service in "$@"; do
-    rows+="${rows:+, }\"$service\": { \"HealthPath\": \"/health\", \"MaxConnections\": 160, \"Protocol\": \"h1\", \"Tls\": false }"
-  done
-  cat > "$file" <<JSON
-{ "Version": "$version",
-  "Routes": {
-    "place-order": { "Hostname": "shop.example", "PathPrefix": "/order/", "RouteType": "unsafe",
-      "TimeoutMs": 4000, "TargetLatencyMs": 1500, "Priority": 0, "Service": "$target", "MaxAttempts": 2 },
-    "browse": { "Hostname": "shop.example", "PathPrefix": "/browse/", "RouteType": "safe",
-      "TimeoutMs": 4000, "TargetLatencyMs": 1500, "Priority": 2, "Service": "catalogue", "MaxAttempts": 2 } },
-  "Services": { $rows },
-  "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000 } }
-JSON
-}
-tables "$folder/r1.json" r1 orders orders catalogue
-tables "$folder/r2.json" r2 catalogue catalogue
-tables "$folder/r3.json" r3 orders orders catalogue
+write_tables "$folder/r1.json" r1 orders orders catalogue
+write_tables "$folder/r2.json" r2 catalogue catalogue
+write_tables "$folder/r3.json" r3 orders orders catalogue
 
 for name in core-1 core-2 core-3 "${apps[@]}"; do start_daemon "$name"; done
 for name in "${apps[@]}"; do start_backend "$name" "backend-$name"; done
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -102,6 +102,12 @@
 JSON
 }
 
+# The line of a violated invariant, without the path of the sources.
+last_violation() {
+  grep -a 'invariant violated' "$folder/$1.log" | tail -n 1 |
+    sed 's|at /.*/Libraries|at Libraries|'
+}
+
 # Runs the daemon of a machine and starts it again when it ends, as the
 # platform does, until the file NAME.off or the file stop exists.
 start_daemon() {
@@ -113,7 +119,7 @@
       wait $!
       status=$?
       [ -e "$folder/stop" ] ||
-        echo "$(now) platform machine=$1 event=process_ended status=$status $(grep -a 'invariant violated' "$folder/$1.log" | tail -n 1)" >> "$record"
+        echo "$(now) platform machine=$1 event=process_ended status=$status $(last_violation "$1")" >> "$record"
       sleep 0.5
     done
   ) 2>/dev/null &
@@ -133,6 +139,26 @@
 daemon_pid() { cat "$folder/$1.pid"; }
 backend_pid() { cat "$folder/$1.backend.pid"; }
 
+# write_tables FILE VERSION SERVICE_OF_ORDERS SERVICES...: two routes, one for
+# orders and one for reads of the catalogue.
+write_tables() {
+  local file=$1 version=$2 target=$3 rows="" service
+  shift 3
+  for service in "$@"; do
+    rows+="${rows:+, }\"$service\": { \"HealthPath\": \"/health\", \"MaxConnections\": 160, \"Protocol\": \"h1\", \"Tls\": false }"
+  done
+  cat > "$file" <<JSON
+{ "Version": "$version",
+  "Routes": {
+    "place-order": { "Hostname": "shop.example", "PathPrefix": "/order/", "RouteType": "unsafe",
+      "TimeoutMs": 4000, "TargetLatencyMs": 1500, "Priority": 0, "Service": "$target", "MaxAttempts": 2 },
+    "browse": { "Hostname": "shop.example", "PathPrefix": "/browse/", "RouteType": "safe",
+      "TimeoutMs": 4000, "TargetLatencyMs": 1500, "Priority": 2, "Service": "catalogue", "MaxAttempts": 2 } },
+  "Services": { $rows },
+  "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000 } }
+JSON
+}
+
 # put FILE BASE: sends the configuration to the control machines in turn until
 # one acknowledges it.
 put() {
