--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -10,9 +10,12 @@
 machine core-3 3 zone-c region-b
 machine app-1 11 zone-a region-a orders
 machine app-2 12 zone-b region-a orders
-machine app-3 13 zone-a region-a catalogue
-machine app-4 14 zone-b region-a catalogue
-apps=(app-1 app-2 app-3 app-4)
+machine app-3 13 zone-c region-b orders
+machine app-4 14 zone-a region-a catalogue
+machine app-5 15 zone-b region-a catalogue
+machine app-6 16 zone-a region-a catalogue
+machine app-7 17 zone-b region-a catalogue
+apps=(app-1 app-2 app-3 app-4 app-5 app-6 app-7)
 # How late the report is.
 late_ms=3000
 # How long the backend serves after its deregistration is acknowledged.
@@ -52,7 +55,7 @@
 clients=()
 number=0
 while [ "$(now)" -lt $((acknowledged + serve_ms - 1000)) ]; do
-  for name in app-2 app-3 app-4; do
+  for name in app-2 app-4 app-5; do
     number=$((number + 1))
     request "$name" POST "/order/o?work=20" "order-$name-$number" 4000 >> "$record" &
     clients+=($!)
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -134,6 +134,7 @@
     --id "$id" --service "${service_of[$name]}" --zone "${zone_of[$name]}" "$@" \
     >> "$folder/$name.backend.txt" 2>> "$folder/$name.backend.log" &
   echo $! > "$folder/$name.backend.pid"
+  disown $!
 }
 
 daemon_pid() { cat "$folder/$1.pid"; }
