--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,8 @@
 # An operator drops a service from the tables and takes the decision back a
 # moment later, while orders for the service are under way.
 source "$(dirname "$0")/../lib.sh"
+# With TROUBLE=0 the case does the same without the disruption.
+trouble=${TROUBLE:-1}
 
 seeds=("$subnet.1" "$subnet.2" "$subnet.3")
 machine core-1 1 zone-a region-a
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,8 @@
 # service, while another machine is frozen. That one wakes with requests of its
 # clients waiting.
 source "$(dirname "$0")/../lib.sh"
+# With TROUBLE=0 the case does the same without the disruption.
+trouble=${TROUBLE:-1}
 
 seeds=("$subnet.1" "$subnet.2" "$subnet.3")
 machine core-1 1 zone-a region-a
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -6,7 +6,6 @@
 cd "$case_folder/../.."
 record=$case_folder/record.txt
 folder=$(mktemp -d)
-trouble=${TROUBLE:-1}
 ask=target/review/ask
 node=target/bin/cranberryfold_node
 backend_program=target/review/backend
