--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -233,6 +233,20 @@
   }
 }
 
+pool_match
+traffic_policy::MatchPool(std::string const& aPool) const
+{
+  std::scoped_lock const lock(mMutex);
+  auto const& pools = mView->Tables().mPools;
+  auto const row = pools.find(aPool);
+  if (row == pools.end()) {
+    return pool_match::kUnknownPool;
+  }
+  return row->second.mService == mSettings.mUpstream.mService
+           ? pool_match::kOwnService
+           : pool_match::kOtherService;
+}
+
 traffic::call_id
 traffic_policy::RequestAdmission(core::time_point aNow,
                                  traffic::call_context const& aContext,
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -38,6 +38,15 @@
   bool operator==(call_refusal const&) const = default;
 };
 
+/// Which service runs the calls of a pool, by the installed tables.
+enum class pool_match
+{
+  kOwnService,
+  kOtherService,
+  /// The tables do not list the pool, or there are none yet.
+  kUnknownPool,
+};
+
 /// The refusal, or std::nullopt if the call was admitted.
 using admission_decision = std::optional<call_refusal>;
 
@@ -61,6 +70,9 @@
   /// Returns the name of the pool for the next request of aRoute.
   std::string ChoosePool(tables::route const& aRoute);
 
+  /// Returns whether the local upstream runs the calls of aPool.
+  pool_match MatchPool(std::string const& aPool) const;
+
   /// Requests admission to the local upstream. aCallback may run before this
   /// function returns.
   traffic::call_id RequestAdmission(core::time_point aNow,
