LibDaemon: Refuse calls of pools that another service runs

Cause: an address passes to an instance of another service within seconds. A sender that was cut off or frozen meanwhile still lists the former service there. Its call names the pool, but the daemon at that address took every call for one of its own upstream.

The daemon beside the upstream now looks the pool up in its own tables and refuses the call as not run (wrong_service) unless the pool's service is its own. The sender tries another upstream and avoids this one for 200 ms, as after not_ready. A daemon that has just started waits for tables first, as it does for callers. Frames are unchanged: the check also protects against senders of an older build, which read the new reason as "internal" with the same outcome.

Why not the member's identity in the frame: decoders refuse frames that are longer than they expect, so it would need a second version of the protocol; and the tables decide what a service may run.

--- a/Libraries/LibCore/Reasons.h
+++ b/Libraries/LibCore/Reasons.h
@@ -34,6 +34,7 @@
   kCallerLeft,
   kTooManyConnections,
   kMalformed,
+  kWrongService,
   kInternal,
 };
 
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -50,10 +50,6 @@
   std::function<task<bool>(std::string_view, bool)> mWriteChunk;
 };
 
-/// How often a request that waits for a starting daemon looks again.
-inline constexpr core::duration kStartPollInterval =
-  std::chrono::milliseconds(20);
-
 /// Lowest status that tells a failure of the upstream.
 inline constexpr std::uint32_t kFirstServerError = 500;
 
--- a/Libraries/LibDaemon/CallServer.cpp
+++ b/Libraries/LibDaemon/CallServer.cpp
@@ -127,7 +127,6 @@
     }
     aHead.mContext.mDeadline = Now() + aHead.mTimeLeft;
     mServices.mPolicy.RecordSender(mHello.mPeerAddress);
-    LogMisdirected(aHead);
     auto const call =
       std::make_shared<incoming_call>(mServices, mChannel, std::move(aHead));
     mCalls[stream] = call;
@@ -141,21 +140,6 @@
     return true;
   }
 
-  /// A sender whose members are out of date may call an address that has passed
-  /// to an instance of another service.
-  void LogMisdirected(call_head const& aHead) const
-  {
-    if (mServices.mPolicy.MatchPool(aHead.mPool) != pool_match::kOtherService) {
-      return;
-    }
-    core::LogWarning("call_misdirected")
-      .Field("request", aHead.mContext.mRequest.mValue)
-      .Field("route", aHead.mContext.mRoute)
-      .Field("pool", aHead.mPool)
-      .Field("service", mServices.mSettings.mUpstream.mService.mValue)
-      .Field("sender", mHello.mInstance.mValue);
-  }
-
   std::shared_ptr<incoming_call> FindCall(stream_id aStream) const
   {
     auto const found = mCalls.find(aStream);
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -92,7 +92,11 @@
 incoming_call::Run()
 {
   auto const self = shared_from_this();
-  auto decision = co_await WaitForAdmission();
+  mArrived = Now();
+  auto decision = co_await CheckService();
+  if (!decision) {
+    decision = co_await WaitForAdmission();
+  }
   if (decision) {
     mServices.mMetrics.CountRefusal(refusal_place::kAdmission,
                                     decision->mReason);
@@ -123,6 +127,26 @@
   }
 }
 
+task<admission_decision>
+incoming_call::CheckService()
+{
+  auto match = mServices.mPolicy.MatchPool(mHead.mPool);
+  auto const mustWait = [&] {
+    auto const now = Now();
+    return match == pool_match::kUnknownPool &&
+           mServices.mPolicy.IsStarting(now) &&
+           now < mHead.mContext.mDeadline && !mIsCancelled;
+  };
+  while (mustWait()) {
+    co_await mSignal.Wait(Now() + kStartPollInterval);
+    match = mServices.mPolicy.MatchPool(mHead.mPool);
+  }
+  if (match == pool_match::kOwnService) {
+    co_return std::nullopt;
+  }
+  co_return call_refusal{ outcome::kNotRun, refusal_reason::kWrongService, {} };
+}
+
 task<admission_decision>
 incoming_call::WaitForAdmission()
 {
@@ -134,14 +158,14 @@
         self->mSignal.Notify();
       });
     };
-  mArrived = Now();
+  auto const requested = Now();
   mCall =
-    mServices.mPolicy.RequestAdmission(mArrived, mHead.mContext, onDecision);
+    mServices.mPolicy.RequestAdmission(requested, mHead.mContext, onDecision);
   while (!pending->mDecision && !mIsCancelled) {
     auto const now = Now();
     auto const end =
       std::min(mHead.mContext.mDeadline,
-               mArrived + mServices.mPolicy.MaximumAdmissionWait());
+               requested + mServices.mPolicy.MaximumAdmissionWait());
     auto const until =
       std::min(end, mServices.mPolicy.NextDispatch(now).value_or(end));
     co_await mSignal.Wait(std::max(until, now + kMinimumWait));
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -75,6 +75,9 @@
   task<std::optional<call_refusal>> ForwardResponseBody(
     upstream_connection& aConnection,
     response_parser& aParser);
+  /// Checks that the call is meant for the service of the local upstream. The
+  /// sender may not know yet that the address has passed to this instance.
+  task<admission_decision> CheckService();
   task<admission_decision> WaitForAdmission();
   /// Waits for the quarantine to decide on the call. Returns std::nullopt if
   /// the call may run.
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -38,6 +38,10 @@
   bool operator==(call_refusal const&) const = default;
 };
 
+/// How often a request or call that waits for a starting daemon looks again.
+inline constexpr core::duration kStartPollInterval =
+  std::chrono::milliseconds(20);
+
 /// Which service runs the calls of a pool, by the installed tables.
 enum class pool_match
 {
--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -95,7 +95,10 @@
           std::min(kMaximumAvoidance, kFirstAvoidance * (1 << doublings)));
     return;
   }
-  if (aReport.mReason == refusal_reason::kNotReady) {
+  // The news that would take the upstream out of the candidates may be late.
+  bool const takesNoCalls = aReport.mReason == refusal_reason::kNotReady ||
+                            aReport.mReason == refusal_reason::kWrongService;
+  if (takesNoCalls) {
     Avoid(aNow, kNotReadyAvoidance);
     return;
   }
--- /dev/null
+++ b/Tests/Daemon/TestMisdirectedCalls.cpp
@@ -0,0 +1,95 @@
+#include "Daemon/Mesh.h"
+#include "LibDaemon/CallFrames.h"
+#include "LibWire/Frame.h"
+
+#include <array>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryfold;
+using namespace cranberryfold::daemon;
+using namespace cranberryfold::test_support;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+std::string
+ToBytes(call_frame const& aFrame)
+{
+  return wire::EncodeFrame(EncodeCallFrame(aFrame));
+}
+
+/// Calls aPool at a daemon as the daemon of a sender does. Returns the first
+/// frame that the daemon sends back.
+core::attempt<call_frame>
+CallPool(core::address const& aPeer, std::string const& aPool)
+{
+  call_head head;
+  head.mStream = { 1 };
+  head.mAttempt = 1;
+  head.mContext.mRequest = { "misdirected" };
+  head.mTimeLeft = 10s;
+  head.mPool = aPool;
+  head.mMethod = "GET";
+  head.mTarget = "/stock/item";
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect({ boost::asio::ip::make_address(aPeer.mHost), aPeer.mPort });
+  boost::asio::write(socket,
+                     boost::asio::buffer(ToBytes(hello{}) + ToBytes(head)));
+  wire::frame_splitter splitter(wire::kMaximumCallFrameBytes);
+  std::array<char, 4096> bytes{};
+  for (;;) {
+    auto const payload = core::Attempt([&] { return splitter.Next(); });
+    BOOST_REQUIRE(payload);
+    if (payload.mValue->has_value()) {
+      return core::Attempt([&] { return DecodeCallFrame(**payload.mValue); });
+    }
+    auto const size = socket.read_some(boost::asio::buffer(bytes));
+    splitter.Append({ bytes.data(), size });
+  }
+}
+
+bool
+HasTables(mesh const& aMesh, std::string const& aInstance)
+{
+  auto const tables =
+    Send(aMesh.Admin(aInstance), { { "GET", "/v1/tables", {} }, "" });
+  return tables && tables->mBody.find("\"revision\":1") != std::string::npos;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(MisdirectedCalls)
+
+// Guards against calls that are run by another service: a sender that missed
+// the news of an address that was reused still sends calls of its former
+// service there.
+BOOST_AUTO_TEST_CASE(CallOfAnotherServiceIsRefusedAsNotRun)
+{
+  mesh const running;
+  BOOST_REQUIRE(WaitUntil([&] { return HasTables(running, "order"); }));
+  auto const frame = CallPool(running.Peer("order"), "stock");
+  BOOST_REQUIRE(frame);
+  auto const* const refused = std::get_if<refusal>(&*frame);
+  BOOST_REQUIRE(refused != nullptr);
+  BOOST_TEST((refused->mOutcome == traffic::outcome::kNotRun));
+  BOOST_TEST(core::ReasonName(refused->mReason) == "wrong_service");
+  BOOST_TEST(running.Journal("order").find("event=start") == std::string::npos);
+}
+
+// Guards against a check that turns away calls of the daemon's own service.
+BOOST_AUTO_TEST_CASE(CallOfTheOwnServiceRuns)
+{
+  mesh const running;
+  auto const frame = CallPool(running.Peer("stock"), "stock");
+  BOOST_REQUIRE(frame);
+  BOOST_TEST(std::holds_alternative<call_response_head>(*frame));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
