--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -136,17 +136,21 @@
   }
 }
 
+std::optional<int>
+child_process::ExitStatus()
+{
+  int status = 0;
+  if (!mStatus && waitpid(mId, &status, WNOHANG) == mId) {
+    mStatus =
+      WIFEXITED(status) ? WEXITSTATUS(status) : kSignalBase + WTERMSIG(status);
+  }
+  return mStatus;
+}
+
 std::optional<int>
 child_process::WaitForExit()
 {
-  WaitUntil([this] {
-    int status = 0;
-    if (!mStatus && waitpid(mId, &status, WNOHANG) == mId) {
-      mStatus = WIFEXITED(status) ? WEXITSTATUS(status)
-                                  : kSignalBase + WTERMSIG(status);
-    }
-    return mStatus.has_value();
-  });
+  WaitUntil([this] { return ExitStatus().has_value(); });
   return mStatus;
 }
 
@@ -217,6 +221,58 @@
   return RunToEnd(context, ExchangePattern(aPeer, aHead, aSize));
 }
 
+struct kept_connection::state
+{
+  asio::io_context mContext{ 1 };
+  core::address mPeer;
+  std::optional<http::client_connection> mConnection;
+
+  asio::awaitable<core::attempt<http::response>> Exchange(
+    http::request const& aRequest,
+    core::duration aTimeout)
+  {
+    core::attempt<http::response> result;
+    if (!mConnection || !mConnection->IsReusable()) {
+      mConnection.emplace(mContext.get_executor(), mPeer);
+      auto const connected = co_await mConnection->Connect(aTimeout);
+      if (!connected) {
+        result.mError = connected.mError;
+        mConnection.reset();
+        co_return result;
+      }
+    }
+    http::response received;
+    http::body_sink const sink = [&received](std::string_view aBytes) {
+      received.mBody += aBytes;
+    };
+    auto const body = http::BodyOf(aRequest.mBody);
+    auto const head =
+      co_await mConnection->Exchange(aRequest.mHead, body, sink, aTimeout);
+    result.mError = head.mError;
+    if (head) {
+      received.mHead = *head;
+      result.mValue = std::move(received);
+    }
+    co_return result;
+  }
+};
+
+kept_connection::kept_connection(core::address aPeer)
+  : mState(std::make_unique<state>())
+{
+  mState->mPeer = std::move(aPeer);
+}
+
+kept_connection::~kept_connection() = default;
+
+core::attempt<http::response>
+kept_connection::Exchange(http::request const& aRequest,
+                          core::duration aTimeout)
+{
+  mState->mContext.restart();
+  return RunToEnd(mState->mContext, mState->Exchange(aRequest, aTimeout));
+}
+
 struct raw_connection::state
 {
   asio::io_context mContext{ 1 };
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Error.h"
+#include "LibCore/Time.h"
 #include "LibHttp/Message.h"
 #include "PortReservation.h"
 
@@ -34,6 +35,9 @@
 
   void Signal(int aSignal) const;
 
+  /// Returns the exit status as WaitForExit() does, without waiting.
+  std::optional<int> ExitStatus();
+
   /// Returns the exit status, 128 + signal when it was killed, or nothing when
   /// it runs on after kWaitLimit.
   std::optional<int> WaitForExit();
@@ -82,6 +86,25 @@
             http::request_head const& aHead,
             std::uint64_t aSize);
 
+/// A connection that is kept between requests, and opened again when the peer
+/// has closed it.
+class kept_connection
+{
+public:
+  explicit kept_connection(core::address aPeer);
+  ~kept_connection();
+  kept_connection(kept_connection const&) = delete;
+  kept_connection& operator=(kept_connection const&) = delete;
+
+  /// Fails as http::client_connection does.
+  core::attempt<http::response> Exchange(http::request const& aRequest,
+                                         core::duration aTimeout);
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
 /// A TCP connection that is closed at the end of its life.
 class raw_connection
 {
