LibMembership: Log the source and delay of installed tables

tables_installed now names source, sender and the time that a newer revision had been known of. event=tables_outdated is written once when a peer proves to be ahead, and the gauge tables_behind_seconds tells it while it lasts. request_refused names the revision in force, so that a 404 can be compared with the acknowledged edit.

--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -171,6 +171,10 @@
   mTimers.Every(Now(), kGaugeInterval, [this](core::time_point) {
     mMetrics.SetGauge("revision",
                       static_cast<double>(mDistributor.Revision().mValue));
+    mMetrics.SetGauge(
+      "tables_behind_seconds",
+      static_cast<double>(core::Milliseconds(mDistributor.BehindFor(Now()))) /
+        1000);
     mMetrics.SetGauge("members",
                       static_cast<double>(mDirectory.Members().size()));
   });
@@ -339,9 +343,22 @@
       Send(*send);
       continue;
     }
+    if (auto const* const outdated =
+          std::get_if<membership::tables_outdated>(&action)) {
+      core::LogInfo("tables_outdated")
+        .Field("revision",
+               static_cast<std::int64_t>(outdated->mRevision.mValue))
+        .Field("newest", static_cast<std::int64_t>(outdated->mNewest.mValue))
+        .Field("peer", outdated->mPeer.mValue);
+      continue;
+    }
     auto const& installed = std::get<membership::tables_installed>(action);
     core::LogInfo("tables_installed")
-      .Field("revision", static_cast<std::int64_t>(installed.mRevision.mValue));
+      .Field("revision", static_cast<std::int64_t>(installed.mRevision.mValue))
+      .Field("source", membership::TableSourceName(installed.mSource))
+      .Field("from", installed.mFrom.mValue)
+      .Field("snapshot", installed.mIsSnapshot ? "yes" : "no")
+      .Field("behind_ms", core::Milliseconds(installed.mBehindFor));
     PublishView();
   }
 }
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -518,7 +518,7 @@
       .Field("reason", core::ReasonName(reason));
   }
 
-  void LogRefusal(call_refusal const& aRefusal, unsigned aStatus) const
+  void LogRefusal(call_refusal const& aRefusal, unsigned aStatus)
   {
     auto const metadata = mServices.mDialect.mReadCaller(mParser->get());
     core::LogInfo("request_refused")
@@ -528,6 +528,9 @@
       .Field("status", aStatus)
       .Field("outcome", OutcomeName(aRefusal.mOutcome))
       .Field("reason", core::ReasonName(aRefusal.mReason))
+      .Field(
+        "revision",
+        static_cast<std::int64_t>(Outgoing().mPolicy.View()->mRevision.mValue))
       .Field("retry_after_ms", core::Milliseconds(aRefusal.mRetryAfter))
       .Field("age_ms", core::Milliseconds(Now() - mStarted));
   }
--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -32,6 +32,20 @@
 
 }
 
+std::string_view
+TableSourceName(table_source aSource)
+{
+  switch (aSource) {
+    case table_source::kPush:
+      return "push";
+    case table_source::kRequest:
+      return "request";
+    case table_source::kReplica:
+      return "replica";
+  }
+  return "";
+}
+
 configuration_distributor::configuration_distributor(
   distributor_settings aSettings,
   core::random_source aRandom)
@@ -57,6 +71,12 @@
   return mHasPeerDigest && mRevision >= mHighestPeerRevision;
 }
 
+core::duration
+configuration_distributor::BehindFor(core::time_point aNow) const
+{
+  return mBehindSince ? aNow - *mBehindSince : core::duration{};
+}
+
 core::duration
 configuration_distributor::DigestInterval() const
 {
@@ -104,7 +124,8 @@
                      hash,
                      tables::CompareTables(*mTables, *aEvent.mTables) };
   bool const isNext = aEvent.mRevision.mValue == before.mValue + 1;
-  Install(aEvent.mRevision, hash, aEvent.mTables);
+  Install(
+    { aEvent.mRevision, hash, aEvent.mTables, table_source::kReplica, {} });
   if (isNext) {
     AppendToHistory(std::move(delta));
   } else {
@@ -142,13 +163,14 @@
     mHighestPeerRevision = std::max(mHighestPeerRevision, delta.mRevision);
     AssertSameContent(delta.mRevision, delta.mHash);
     bool const isNext = delta.mRevision.mValue == mRevision.mValue + 1;
-    if (isNext && !ApplyDelta(delta)) {
+    if (isNext && !ApplyDelta(aFrom, delta)) {
       // The same deltas would fail again, so the next request asks for a
       // snapshot.
       mNeedsSnapshot = true;
       break;
     }
   }
+  UpdateBehindSince(aFrom);
   if (mRevision < mHighestPeerRevision) {
     RequestFrom(aFrom);
   }
@@ -164,6 +186,7 @@
   mHasPeerDigest = true;
   mHighestPeerRevision = std::max(mHighestPeerRevision, aMessage.mRevision);
   AssertSameContent(aMessage.mRevision, aMessage.mHash);
+  UpdateBehindSince(aFrom);
   if (aMessage.mRevision > mRevision) {
     RequestFrom(aFrom);
   }
@@ -187,7 +210,7 @@
 }
 
 void
-configuration_distributor::On(contact const& /*aFrom*/,
+configuration_distributor::On(contact const& aFrom,
                               configuration_snapshot const& aMessage)
 {
   if (aMessage.mRange) {
@@ -204,9 +227,12 @@
   if (aMessage.mRevision <= before) {
     return;
   }
-  Install(aMessage.mRevision,
-          aMessage.mHash,
-          std::make_shared<tables::table_set const>(aMessage.mTables));
+  Install({ aMessage.mRevision,
+            aMessage.mHash,
+            std::make_shared<tables::table_set const>(aMessage.mTables),
+            SourceOf(aFrom),
+            aFrom.mInstance,
+            true });
   // The delta to this revision is unknown, and peers cannot apply a history
   // with a gap.
   mHistory.clear();
@@ -216,21 +242,42 @@
 }
 
 void
-configuration_distributor::Install(
-  core::revision aRevision,
-  std::uint64_t aHash,
-  std::shared_ptr<tables::table_set const> aTables)
-{
-  CF_ASSERT(aRevision > mRevision, "the active revision must not decrease");
-  mRevision = aRevision;
-  mHash = aHash;
-  mTables = std::move(aTables);
+configuration_distributor::Install(tables_installed aInstalled)
+{
+  CF_ASSERT(aInstalled.mRevision > mRevision,
+            "the active revision must not decrease");
+  mRevision = aInstalled.mRevision;
+  mHash = aInstalled.mHash;
+  mTables = aInstalled.mTables;
   mNeedsSnapshot = false;
-  mActions.emplace_back(tables_installed{ mRevision, mHash, mTables });
+  aInstalled.mBehindFor = BehindFor(mNow);
+  if (mRevision >= mHighestPeerRevision) {
+    mBehindSince.reset();
+  }
+  mActions.emplace_back(std::move(aInstalled));
+}
+
+table_source
+configuration_distributor::SourceOf(contact const& aFrom) const
+{
+  return aFrom.mInstance == mRequestedFrom ? table_source::kRequest
+                                           : table_source::kPush;
+}
+
+void
+configuration_distributor::UpdateBehindSince(contact const& aPeer)
+{
+  if (mRevision >= mHighestPeerRevision || mBehindSince) {
+    return;
+  }
+  mBehindSince = mNow;
+  mActions.emplace_back(
+    tables_outdated{ mRevision, mHighestPeerRevision, aPeer.mInstance });
 }
 
 bool
-configuration_distributor::ApplyDelta(table_delta const& aDelta)
+configuration_distributor::ApplyDelta(contact const& aFrom,
+                                      table_delta const& aDelta)
 {
   auto changed = core::Attempt(
     [&] { return tables::ApplyChanges(*mTables, aDelta.mChanges); });
@@ -239,9 +286,11 @@
   if (!changed || tables::ContentHash(*changed) != aDelta.mHash) {
     return false;
   }
-  Install(aDelta.mRevision,
-          aDelta.mHash,
-          std::make_shared<tables::table_set const>(std::move(*changed)));
+  Install({ aDelta.mRevision,
+            aDelta.mHash,
+            std::make_shared<tables::table_set const>(std::move(*changed)),
+            SourceOf(aFrom),
+            aFrom.mInstance });
   AppendToHistory(aDelta);
   return true;
 }
@@ -320,6 +369,7 @@
   }
   mRequestExpires =
     mNow + (HasNoTables() ? kInitialRequestTimeout : kRequestTimeout);
+  mRequestedFrom = aPeer.mInstance;
   Send(aPeer.mAddress, configuration_request{ mRevision, mNeedsSnapshot });
 }
 
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -48,15 +49,48 @@
                                        tables_committed,
                                        peers_changed>;
 
+/// How tables reached a daemon.
+enum class table_source : std::uint8_t
+{
+  /// Deltas or a snapshot that this daemon did not request.
+  kPush,
+  /// Deltas or a snapshot that this daemon requested from a peer that was
+  /// ahead.
+  kRequest,
+  /// Committed by the control replica of this daemon.
+  kReplica,
+};
+
+/// Returns the external name of a source, such as "push".
+std::string_view
+TableSourceName(table_source aSource);
+
 /// The daemon uses these tables from now on.
 struct tables_installed
 {
   core::revision mRevision;
   std::uint64_t mHash = 0;
   std::shared_ptr<tables::table_set const> mTables;
+  table_source mSource = table_source::kPush;
+  /// The peer that sent the tables; empty for kReplica.
+  core::instance_id mFrom;
+  bool mIsSnapshot = false;
+  /// Time since the daemon learned that a newer revision exists; zero if these
+  /// tables are the first that it learned of.
+  core::duration mBehindFor{};
+};
+
+/// The daemon has learned that a peer holds a newer revision than its own.
+/// Emitted once until the daemon has caught up.
+struct tables_outdated
+{
+  core::revision mRevision;
+  core::revision mNewest;
+  core::instance_id mPeer;
 };
 
-using distributor_action = std::variant<send_message, tables_installed>;
+using distributor_action =
+  std::variant<send_message, tables_installed, tables_outdated>;
 
 /// Handles the configuration messages of one daemon: push along the tree and
 /// anti-entropy. The active revision never decreases.
@@ -76,6 +110,9 @@
   /// Whether at least one peer has sent its revision since the start and the
   /// own revision is not behind any that was received.
   bool IsCaughtUp() const;
+  /// Returns the time since the daemon learned of a newer revision than its
+  /// own, or zero if it knows of none.
+  core::duration BehindFor(core::time_point aNow) const;
   /// Returns the approximate memory use in bytes.
   std::size_t MemoryBytes() const;
 
@@ -92,10 +129,10 @@
   void On(contact const& aFrom, configuration_request const& aMessage);
   void On(contact const& aFrom, configuration_snapshot const& aMessage);
 
-  void Install(core::revision aRevision,
-               std::uint64_t aHash,
-               std::shared_ptr<tables::table_set const> aTables);
-  bool ApplyDelta(table_delta const& aDelta);
+  void Install(tables_installed aInstalled);
+  bool ApplyDelta(contact const& aFrom, table_delta const& aDelta);
+  table_source SourceOf(contact const& aFrom) const;
+  void UpdateBehindSince(contact const& aPeer);
   void AppendToHistory(table_delta aDelta);
   bool HasDeltasAfter(core::revision aRevision) const;
   std::vector<table_delta> DeltasAfter(core::revision aRevision) const;
@@ -131,6 +168,10 @@
   bool mNeedsSnapshot = false;
   core::time_point mNow;
   core::time_point mRequestExpires;
+  /// The peer of the latest request; empty once it has responded.
+  core::instance_id mRequestedFrom;
+  /// When this daemon learned of a newer revision than its own.
+  std::optional<core::time_point> mBehindSince;
   std::optional<core::time_point> mNextDigest;
   std::vector<distributor_action> mActions;
 };
--- a/Tests/LibMembership/TestConfigurationDistributor.cpp
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -167,6 +167,37 @@
   BOOST_TEST(distributor.IsCaughtUp());
 }
 
+// Guards against logs that cannot tell from whom late tables came and since
+// when the daemon has known that they exist.
+BOOST_AUTO_TEST_CASE(InstallationNamesItsSourceAndDelay)
+{
+  auto const last = [](std::vector<distributor_action> const& aActions) {
+    return std::get<tables_installed>(aActions.front());
+  };
+  auto distributor = Distributor();
+  auto const pushed = last(distributor.Handle(kStart, From("x", Snapshot(5))));
+  BOOST_TEST((pushed.mSource == table_source::kPush));
+  BOOST_TEST(pushed.mFrom.mValue == "x");
+  BOOST_TEST(pushed.mIsSnapshot);
+  BOOST_TEST((pushed.mBehindFor == core::duration{}));
+  auto const newer = Snapshot(7);
+  auto const outdated = distributor.Handle(
+    kStart + 1s,
+    From("y", configuration_digest{ newer.mRevision, newer.mHash, false }));
+  auto const& line = std::get<tables_outdated>(outdated.front());
+  BOOST_TEST(line.mRevision.mValue == 5U);
+  BOOST_TEST(line.mNewest.mValue == 7U);
+  BOOST_TEST(line.mPeer.mValue == "y");
+  BOOST_TEST((distributor.BehindFor(kStart + 3s) == core::duration(2s)));
+  auto const requested =
+    last(distributor.Handle(kStart + 3s, From("y", newer)));
+  BOOST_TEST((requested.mSource == table_source::kRequest));
+  BOOST_TEST((requested.mBehindFor == core::duration(2s)));
+  BOOST_TEST((distributor.BehindFor(kStart + 4s) == core::duration{}));
+  auto const committed = last(distributor.Handle(kStart + 4s, Commit(8)));
+  BOOST_TEST((committed.mSource == table_source::kReplica));
+}
+
 // Guards against a relay that does not forward changes to its zone.
 BOOST_AUTO_TEST_CASE(RelayForwardsChangesToItsZone)
 {
--- a/Utilities/RandomRun/Fleet.cpp
+++ b/Utilities/RandomRun/Fleet.cpp
@@ -215,8 +215,9 @@
     if (auto const* const send =
           std::get_if<membership::send_message>(&action)) {
       Send(aNode, *send);
-    } else {
-      Installed(aNode, std::get<membership::tables_installed>(action));
+    } else if (auto const* const installed =
+                 std::get_if<membership::tables_installed>(&action)) {
+      Installed(aNode, *installed);
     }
   }
 }
