LibMembership: Supply zones whose relays have failed

If both had just failed, or one had and the other was a control replica that had committed the tables before the push arrived (it then forwarded nothing), the rest of the zone depended on one comparison a second with a random peer. A failed relay keeps its role for about 4 s, until it is declared dead.

A control replica now pushes what it commits to its own zone unless a push brought it first, and the leader's pushes to other zones order the receiver to forward to the whole zone, whatever it knows itself. All of this uses the existing messages.

--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Assert.h"
 #include "LibMembership/Codec.h"
 #include "LibMembership/DisseminationTree.h"
+#include "LibMembership/MemberTable.h"
 #include "LibMembership/UpdateQueue.h"
 #include "LibTables/TableRules.h"
 
@@ -30,6 +31,26 @@
 /// lost datagram or a peer without tables causes no delay.
 constexpr std::size_t kInitialPeerCount = 3;
 
+/// Covers all members of a zone, whatever the sender knows of them.
+tree_range
+RangeOfAllInstances(bool aReversed)
+{
+  return { {}, { "\xff" }, aReversed };
+}
+
+void
+SetRange(configuration_message& aMessage,
+         std::optional<tree_range> const& aRange)
+{
+  std::visit(
+    [&aRange](auto& aTyped) {
+      if constexpr (requires { aTyped.mRange; }) {
+        aTyped.mRange = aRange;
+      }
+    },
+    aMessage);
+}
+
 }
 
 std::string_view
@@ -86,6 +107,7 @@
 void
 configuration_distributor::On(tick const& /*aEvent*/)
 {
+  CheckPushes();
   if (!mSettings.mAntiEntropy) {
     return;
   }
@@ -131,8 +153,16 @@
   } else {
     mHistory.clear();
   }
-  if (aEvent.mIsLeader && mSettings.mPush) {
+  if (!mSettings.mPush) {
+    return;
+  }
+  if (aEvent.mIsLeader) {
     PushToRelays(before);
+    PushToZone(before);
+  } else if (before != core::revision{}) {
+    // The relays may have failed: this replica is the first of its zone to
+    // know the tables. After a start it only reads its journal.
+    PushToZone(before);
   }
 }
 
@@ -154,9 +184,6 @@
 configuration_distributor::On(contact const& aFrom,
                               configuration_deltas const& aMessage)
 {
-  if (aMessage.mRange) {
-    SendToBranches(aMessage, *aMessage.mRange);
-  }
   mRequestExpires = mNow;
   auto const before = mRevision;
   for (auto const& delta : aMessage.mDeltas) {
@@ -174,7 +201,11 @@
   if (mRevision < mHighestPeerRevision) {
     RequestFrom(aFrom);
   }
-  if (mRevision > before && !aMessage.mRange) {
+  if (aMessage.mRange && !aMessage.mDeltas.empty()) {
+    core::revision const base{ aMessage.mDeltas.front().mRevision.mValue - 1 };
+    SendToBranches(
+      base, aMessage.mDeltas.back().mRevision, aMessage, *aMessage.mRange);
+  } else if (mRevision > before && IsRelay()) {
     PushToZone(before);
   }
 }
@@ -193,6 +224,10 @@
   if (aMessage.mRevision < mRevision || aMessage.mResponseRequested) {
     Send(aFrom.mAddress, OwnDigest(false));
   }
+  if (auto const duty =
+        mPushes.HandleRevision(aFrom.mInstance, aMessage.mRevision)) {
+    TakeOver(*duty);
+  }
 }
 
 void
@@ -214,7 +249,7 @@
                               configuration_snapshot const& aMessage)
 {
   if (aMessage.mRange) {
-    SendToBranches(aMessage, *aMessage.mRange);
+    SendToBranches({}, aMessage.mRevision, aMessage, *aMessage.mRange);
   }
   mRequestExpires = mNow;
   bool const isIntact = tables::ContentHash(aMessage.mTables) == aMessage.mHash;
@@ -236,7 +271,7 @@
   // The delta to this revision is unknown, and peers cannot apply a history
   // with a gap.
   mHistory.clear();
-  if (!aMessage.mRange) {
+  if (!aMessage.mRange && IsRelay()) {
     PushToZone(before);
   }
 }
@@ -376,51 +411,103 @@
 void
 configuration_distributor::PushToRelays(core::revision aBefore)
 {
-  auto const changes = ChangesSince(aBefore);
-  for (auto const& relay : mPeers.mRemoteRelays) {
-    Send(relay.mAddress, changes);
+  for (auto const& candidates : mPeers.mRemoteCandidates) {
+    // The two relays of a zone begin with different members and have different
+    // replacements, so that one failure does not affect both trees.
+    for (std::size_t relay = 0;
+         relay < std::min(candidates.size(), kRelayCountPerZone);
+         ++relay) {
+      std::vector<contact> own;
+      for (std::size_t index = relay; index < candidates.size();
+           index += kRelayCountPerZone) {
+        own.push_back(candidates[index]);
+      }
+      PushToOtherZone(aBefore, own, relay > 0);
+    }
   }
-  bool isRelay = false;
+  auto const changes = ChangesSince(aBefore);
   for (auto const& relay : mPeers.mOwnRelays) {
-    bool const isOwn = relay.mInstance == mSettings.mOwn.mInstance;
-    isRelay = isRelay || isOwn;
-    if (!isOwn) {
+    if (relay.mInstance != mSettings.mOwn.mInstance) {
       Send(relay.mAddress, changes);
     }
   }
-  if (isRelay) {
-    PushToZone(aBefore);
+}
+
+void
+configuration_distributor::PushToOtherZone(
+  core::revision aBefore,
+  std::vector<contact> const& aCandidates,
+  bool aReversed)
+{
+  if (aCandidates.empty()) {
+    return;
   }
+  auto const& receiver = aCandidates.front();
+  auto const range = RangeOfAllInstances(aReversed);
+  auto changes = ChangesSince(aBefore);
+  SetRange(changes, range);
+  Send(receiver.mAddress, std::move(changes));
+  mPushes.Track(mNow,
+                receiver,
+                { aBefore,
+                  mRevision,
+                  range,
+                  { aCandidates.begin() + 1, aCandidates.end() },
+                  true });
 }
 
 void
 configuration_distributor::PushToZone(core::revision aBefore)
 {
-  if (!mSettings.mPush || !IsRelay()) {
+  if (!mSettings.mPush) {
     return;
   }
   bool const isFirstRelay =
+    !mPeers.mOwnRelays.empty() &&
     mPeers.mOwnRelays.front().mInstance == mSettings.mOwn.mInstance;
   auto const range = WholeRange(mPeers.mZonePeers, !isFirstRelay);
   if (range) {
-    std::visit(
-      [&](auto aMessage) {
-        if constexpr (requires { aMessage.mRange; }) {
-          SendToBranches(std::move(aMessage), *range);
-        }
-      },
-      ChangesSince(aBefore));
+    SendToBranches(aBefore, mRevision, ChangesSince(aBefore), *range);
   }
 }
 
-template<class Message>
 void
-configuration_distributor::SendToBranches(Message aMessage,
+configuration_distributor::SendToBranches(core::revision aBefore,
+                                          core::revision aRevision,
+                                          configuration_message aMessage,
                                           tree_range const& aRange)
 {
   for (auto const& branch : SplitRange(mPeers.mZonePeers, aRange)) {
-    aMessage.mRange = branch.mRange;
+    SetRange(aMessage, branch.mRange);
     Send(branch.mHead.mAddress, aMessage);
+    mPushes.Track(
+      mNow, branch.mHead, { aBefore, aRevision, branch.mRange, {}, false });
+  }
+}
+
+void
+configuration_distributor::CheckPushes()
+{
+  auto const due = mPushes.TakeDue(mNow);
+  for (auto const& receiver : due.mReceivers) {
+    Send(receiver.mAddress, OwnDigest(true));
+  }
+  for (auto const& duty : due.mDuties) {
+    TakeOver(duty);
+  }
+}
+
+void
+configuration_distributor::TakeOver(detail::push_duty const& aDuty)
+{
+  if (!aDuty.mRange || mRevision < aDuty.mRevision) {
+    return;
+  }
+  if (aDuty.mIsOtherZone) {
+    PushToOtherZone(aDuty.mBase, aDuty.mReplacements, aDuty.mRange->mReversed);
+  } else {
+    SendToBranches(
+      aDuty.mBase, mRevision, ChangesSince(aDuty.mBase), *aDuty.mRange);
   }
 }
 
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -4,6 +4,7 @@
 #include "LibCore/Time.h"
 #include "LibMembership/MemberDirectory.h"
 #include "LibMembership/Messages.h"
+#include "LibMembership/PushTracker.h"
 
 #include <deque>
 #include <memory>
@@ -24,8 +25,9 @@
   bool mPush = true;
 };
 
-/// The control replica of this daemon has committed tables. Only the daemon of
-/// the leader pushes them to others.
+/// The control replica of this daemon has committed tables. The daemon of the
+/// leader pushes them to all zones, that of another replica to its own zone if
+/// no push has brought them before.
 struct tables_committed
 {
   core::revision mRevision;
@@ -145,10 +147,18 @@
   void RequestFrom(contact const& aPeer);
   void PushToRelays(core::revision aBefore);
   void PushToZone(core::revision aBefore);
+  /// Pushes to a member of another zone, which forwards to all of its zone.
+  void PushToOtherZone(core::revision aBefore,
+                       std::vector<contact> const& aCandidates,
+                       bool aReversed);
+  void CheckPushes();
+  void TakeOver(detail::push_duty const& aDuty);
   configuration_message ChangesSince(core::revision aAfter) const;
   void Send(core::address const& aTo, configuration_message aMessage);
-  template<class Message>
-  void SendToBranches(Message aMessage, tree_range const& aRange);
+  void SendToBranches(core::revision aBefore,
+                      core::revision aRevision,
+                      configuration_message aMessage,
+                      tree_range const& aRange);
   configuration_snapshot Snapshot() const;
   configuration_digest OwnDigest(bool aRequestResponse) const;
   bool IsRelay() const;
@@ -173,6 +183,7 @@
   /// When this daemon learned of a newer revision than its own.
   std::optional<core::time_point> mBehindSince;
   std::optional<core::time_point> mNextDigest;
+  detail::push_tracker mPushes;
   std::vector<distributor_action> mActions;
 };
 
--- a/Libraries/LibMembership/DirectoryState.cpp
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -373,7 +373,9 @@
 peer_set
 directory_state::Peers() const
 {
-  return { ZonePeers(), RemoteRelays(), OwnRoster().mRelays };
+  return {
+    ZonePeers(), RemoteRelays(), OwnRoster().mRelays, RemoteCandidates()
+  };
 }
 
 std::vector<contact>
@@ -399,6 +401,18 @@
   return relays;
 }
 
+std::vector<std::vector<contact>>
+directory_state::RemoteCandidates() const
+{
+  std::vector<std::vector<contact>> candidates;
+  for (auto const& zone : mTable.Zones()) {
+    if (zone != mOwn.mZone) {
+      candidates.push_back(mTable.Roster(zone).mRelayCandidates);
+    }
+  }
+  return candidates;
+}
+
 bool
 directory_state::IsRelay() const
 {
--- a/Libraries/LibMembership/DirectoryState.h
+++ b/Libraries/LibMembership/DirectoryState.h
@@ -120,6 +120,7 @@
   zone_roster const& OwnRoster() const { return mTable.Roster(mOwn.mZone); }
   std::vector<contact> ZonePeers() const;
   std::vector<contact> RemoteRelays() const;
+  std::vector<std::vector<contact>> RemoteCandidates() const;
   std::vector<member_update> UpdatesFor(
     std::vector<std::uint64_t> const& aHashes) const;
   std::vector<member_update> PiggybackUpdates(
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -106,6 +106,9 @@
   std::vector<contact> mRemoteRelays;
   /// Relays of the own zone; may contain the own daemon.
   std::vector<contact> mOwnRelays;
+  /// For each other zone, its relays and then the members that replace them
+  /// while they do not respond.
+  std::vector<std::vector<contact>> mRemoteCandidates{};
 
   bool operator==(peer_set const&) const = default;
 };
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -258,13 +258,16 @@
   }
   roster.mLive = roster.mRing;
   std::sort(roster.mLive.begin(), roster.mLive.end());
-  auto const relays = std::min(candidates.size(), kRelayCountPerZone);
+  auto const ordered = std::min(candidates.size(), kRelayCandidateCount);
   std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(relays),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(ordered),
                     candidates.end(),
                     std::greater<>{});
-  for (std::size_t index = 0; index < relays; ++index) {
-    roster.mRelays.push_back(candidates[index].second);
+  for (std::size_t index = 0; index < ordered; ++index) {
+    roster.mRelayCandidates.push_back(candidates[index].second);
+    if (index < kRelayCountPerZone) {
+      roster.mRelays.push_back(candidates[index].second);
+    }
   }
   return roster;
 }
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -17,6 +17,9 @@
 /// any partition that can hide the removal from a peer.
 inline constexpr core::duration kTombstoneLifetime = std::chrono::hours(24);
 inline constexpr std::size_t kRelayCountPerZone = 2;
+/// Members of a zone that are tried in turn as receivers of a push, beginning
+/// with its relays.
+inline constexpr std::size_t kRelayCandidateCount = 8;
 
 struct member_record
 {
@@ -36,6 +39,8 @@
   /// failures of adjacent ids are spread over the ring.
   std::vector<contact> mRing;
   std::vector<contact> mRelays;
+  /// The relays and the next members in the same order.
+  std::vector<contact> mRelayCandidates;
 };
 
 struct merge_result
