LibDaemon: Run calls of pools that the tables have just dropped

While an edit that renames or removes a pool spreads, senders with the former tables name a pool that the receiver's tables no longer list.

Cause: the check compared with the newest tables only. A daemon now also takes the calls of pools that its service had by tables that were replaced less than 9 s ago, the time in which an accepted edit is in force everywhere. Calls of pools that never belonged to its service are refused as before.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -130,7 +130,7 @@
 task<admission_decision>
 incoming_call::CheckService()
 {
-  auto match = mServices.mPolicy.MatchPool(mHead.mPool);
+  auto match = mServices.mPolicy.MatchPool(Now(), mHead.mPool);
   auto const mustWait = [&] {
     auto const now = Now();
     return match == pool_match::kUnknownPool &&
@@ -139,7 +139,7 @@
   };
   while (mustWait()) {
     co_await mSignal.Wait(Now() + kStartPollInterval);
-    match = mServices.mPolicy.MatchPool(mHead.mPool);
+    match = mServices.mPolicy.MatchPool(Now(), mHead.mPool);
   }
   if (match == pool_match::kOwnService) {
     co_return std::nullopt;
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -19,6 +19,10 @@
 /// also if all others start at once.
 constexpr core::duration kStartTime = std::chrono::seconds(1);
 
+/// An accepted edit is in force everywhere within this time. Until then senders
+/// may choose pools of the former tables.
+constexpr core::duration kMaximumTablesAge = std::chrono::seconds(9);
+
 traffic::candidate
 ToCandidate(routing_member const& aMember)
 {
@@ -56,6 +60,7 @@
                         std::shared_ptr<routing_view const> aView)
 {
   std::scoped_lock const lock(mMutex);
+  RecordFormerPools(aNow, aView->Tables());
   mView = std::move(aView);
   for (auto const& [name, row] : mView->Tables().mPools) {
     // Pools of one service share its upstreams, so only one row can configure
@@ -73,6 +78,30 @@
   mDownstreamDependency.RemoveRoutesNotIn(mView->Tables());
 }
 
+bool
+traffic_policy::IsOwnPool(tables::table_set const& aTables,
+                          std::string const& aPool) const
+{
+  auto const row = aTables.mPools.find(aPool);
+  return row != aTables.mPools.end() &&
+         row->second.mService == mSettings.mUpstream.mService;
+}
+
+void
+traffic_policy::RecordFormerPools(core::time_point aNow,
+                                  tables::table_set const& aNext)
+{
+  auto const& before = mView->Tables();
+  for (auto const& [name, row] : before.mPools) {
+    if (IsOwnPool(before, name) && !IsOwnPool(aNext, name)) {
+      mFormerPools[name] = aNow;
+    }
+  }
+  std::erase_if(mFormerPools, [aNow](auto const& aEntry) {
+    return aNow - aEntry.second >= kMaximumTablesAge;
+  });
+}
+
 std::string
 traffic_policy::ChoosePool(tables::route const& aRoute)
 {
@@ -234,17 +263,18 @@
 }
 
 pool_match
-traffic_policy::MatchPool(std::string const& aPool) const
+traffic_policy::MatchPool(core::time_point aNow, std::string const& aPool) const
 {
   std::scoped_lock const lock(mMutex);
-  auto const& pools = mView->Tables().mPools;
-  auto const row = pools.find(aPool);
-  if (row == pools.end()) {
-    return pool_match::kUnknownPool;
+  auto const& tables = mView->Tables();
+  auto const former = mFormerPools.find(aPool);
+  bool const wasOwn =
+    former != mFormerPools.end() && aNow - former->second < kMaximumTablesAge;
+  if (wasOwn || IsOwnPool(tables, aPool)) {
+    return pool_match::kOwnService;
   }
-  return row->second.mService == mSettings.mUpstream.mService
-           ? pool_match::kOwnService
-           : pool_match::kOtherService;
+  return tables.mPools.contains(aPool) ? pool_match::kOtherService
+                                       : pool_match::kUnknownPool;
 }
 
 traffic::call_id
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -45,6 +45,7 @@
 /// Which service runs the calls of a pool, by the installed tables.
 enum class pool_match
 {
+  /// Also by tables that were replaced a short time ago.
   kOwnService,
   kOtherService,
   /// The tables do not list the pool, or there are none yet.
@@ -75,7 +76,7 @@
   std::string ChoosePool(tables::route const& aRoute);
 
   /// Returns whether the local upstream runs the calls of aPool.
-  pool_match MatchPool(std::string const& aPool) const;
+  pool_match MatchPool(core::time_point aNow, std::string const& aPool) const;
 
   /// Requests admission to the local upstream. aCallback may run before this
   /// function returns.
@@ -210,6 +211,11 @@
   /// to stop.
   bool IsUpstreamLeaving() const;
   void ConfigureAdmission(core::time_point aNow);
+  /// Returns whether aTables give the calls of aPool to the local service.
+  bool IsOwnPool(tables::table_set const& aTables,
+                 std::string const& aPool) const;
+  /// Records the pools that the next tables take from the local service.
+  void RecordFormerPools(core::time_point aNow, tables::table_set const& aNext);
   void ConfigurePools();
   /// Returns the retries at aPool that its table row and the settings allow
   /// this daemon.
@@ -227,6 +233,8 @@
   std::multimap<core::request_id, traffic::call_id> mLocalCallsByRequest;
   traffic::downstream_dependency mDownstreamDependency;
   std::map<std::string, pool_state> mPools;
+  /// Pools that the local service lost to newer tables, and when.
+  std::map<std::string, core::time_point> mFormerPools;
   traffic::retry_budget mRetryBudget;
   std::set<core::address> mSenders;
   traffic::weighted_pool_selector mPoolSelector;
--- a/Tests/Daemon/TestMisdirectedCalls.cpp
+++ b/Tests/Daemon/TestMisdirectedCalls.cpp
@@ -56,11 +56,30 @@
 }
 
 bool
-HasTables(mesh const& aMesh, std::string const& aInstance)
+HasTables(mesh const& aMesh,
+          std::string const& aInstance,
+          std::uint64_t aRevision = 1)
 {
   auto const tables =
     Send(aMesh.Admin(aInstance), { { "GET", "/v1/tables", {} }, "" });
-  return tables && tables->mBody.find("\"revision\":1") != std::string::npos;
+  return tables &&
+         tables->mBody.find("\"revision\":" + std::to_string(aRevision)) !=
+           std::string::npos;
+}
+
+/// Renames the pool "stock" of the mesh to "goods".
+void
+RenameStock(mesh const& aMesh)
+{
+  http::request const edit{ { "POST", "/v1/edits", {} },
+                            R"({"edit_id":"rename","base_revision":1,"tables":{
+  "pools": [ { "name": "goods", "service": "stock", "cold_start_ms": 0 } ],
+  "routes": [ { "name": "stock", "methods": ["GET"], "path_prefix": "/stock",
+                "pool": "goods", "class": "catalogue", "idempotent": true,
+                "timeout_ms": 60000 } ] } })" };
+  auto const response = Send(aMesh.Admin("order"), edit);
+  BOOST_REQUIRE(response);
+  BOOST_REQUIRE(response->mHead.mStatus == 200U);
 }
 
 }
@@ -92,4 +111,16 @@
   BOOST_TEST(std::holds_alternative<call_response_head>(*frame));
 }
 
+// Guards against calls that are refused while a table edit spreads: a sender
+// with the former tables names a pool that the daemon's tables no longer list.
+BOOST_AUTO_TEST_CASE(CallOfAPoolThatWasRenamedRuns)
+{
+  mesh const running;
+  RenameStock(running);
+  BOOST_REQUIRE(WaitUntil([&] { return HasTables(running, "stock", 2); }));
+  auto const frame = CallPool(running.Peer("stock"), "stock");
+  BOOST_REQUIRE(frame);
+  BOOST_TEST(std::holds_alternative<call_response_head>(*frame));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
