LibMembership: Report the former process that has the same incarnation

When an address passes to another instance, its incarnation starts at the wall clock. If that clock is behind, the incarnation can equal the one that the former process had reached by its changes. Neither record replaces the other then, and digests show no difference between them, so that all members keep the former service until the new instance changes its state: calls of the former service go to the address and are refused, and calls of the new one do not arrive.

A member that receives the announcement of a joining daemon now sends back a record of the same incarnation that differs, which the present process refutes with a higher incarnation. Messages are unchanged.

--- a/Libraries/LibMembership/DirectoryMessages.cpp
+++ b/Libraries/LibMembership/DirectoryMessages.cpp
@@ -85,6 +85,7 @@
     auto const& introduced = *aMessage.mAnnouncement;
     RejectRemoved(aFrom, introduced.mIncarnation);
     Merge({ introduced, AnnouncedState(introduced) }, propagation::kPush);
+    ReportFormerProcess(aFrom, introduced);
   }
   MergeReports(aMessage.mReports);
   bool const isUnknown = mTable.Find(aFrom.mInstance) == nullptr;
--- a/Libraries/LibMembership/DirectoryState.h
+++ b/Libraries/LibMembership/DirectoryState.h
@@ -104,6 +104,11 @@
                   bool aRequestResponse,
                   bool aIncludeAnnouncement);
   void RejectRemoved(contact const& aFrom, core::incarnation aIncarnation);
+  /// Sends back the record of a former process whose incarnation equals that of
+  /// aIntroduced, so that the present one refutes it. Digests show no
+  /// difference between the two, and neither replaces the other.
+  void ReportFormerProcess(contact const& aFrom,
+                           announcement const& aIntroduced);
   std::vector<core::zone_id> DifferingZones(digest const& aMessage) const;
   void CompareSummary(zone_summary const& aSummary,
                       entry_exchange& aExchange) const;
--- a/Libraries/LibMembership/DirectorySync.cpp
+++ b/Libraries/LibMembership/DirectorySync.cpp
@@ -157,6 +157,19 @@
   }
 }
 
+void
+directory_state::ReportFormerProcess(contact const& aFrom,
+                                     announcement const& aIntroduced)
+{
+  auto const* const record = mTable.Find(aIntroduced.mInstance);
+  bool const isOfFormerProcess =
+    record != nullptr && record->mAnnouncement != aIntroduced &&
+    record->mAnnouncement.mIncarnation == aIntroduced.mIncarnation;
+  if (isOfFormerProcess) {
+    mOutbox.Send(aFrom.mAddress, update_batch{ { record->Update() }, {}, {} });
+  }
+}
+
 std::vector<core::zone_id>
 directory_state::DifferingZones(digest const& aMessage) const
 {
--- a/Tests/LibMembership/TestMemberDirectory.cpp
+++ b/Tests/LibMembership/TestMemberDirectory.cpp
@@ -1,5 +1,11 @@
 #include "LibMembership/MemberDirectory.h"
 
+#include <deque>
+#include <map>
+#include <set>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace cranberryfold;
@@ -92,6 +98,66 @@
   return all;
 }
 
+/// Directories that join through "seed" and exchange their messages at once.
+class directory_group
+{
+public:
+  /// Starts a directory in place of one with the same id.
+  void Start(announcement const& aOwn)
+  {
+    auto const& name = aOwn.mInstance.mValue;
+    directory_settings const settings{ aOwn, { { "seed", 7000 } }, {} };
+    mDirectories.erase(name);
+    mDirectories.try_emplace(
+      name, settings, core::random_source(mDirectories.size()));
+  }
+
+  void RunUntil(core::time_point aEnd)
+  {
+    for (; mNow <= aEnd; mNow += kTickInterval) {
+      for (auto& [name, directory] : mDirectories) {
+        Deliver(directory.Handle(mNow, tick{}));
+      }
+    }
+  }
+
+  /// Returns the services of a member in all views.
+  std::set<std::string> ServicesOf(std::string const& aInstance) const
+  {
+    std::set<std::string> services;
+    for (auto const& [name, directory] : mDirectories) {
+      for (auto const& entry : directory.Members()) {
+        if (entry.mAnnouncement.mInstance.mValue == aInstance) {
+          services.insert(entry.mAnnouncement.mService.mValue);
+        }
+      }
+    }
+    return services;
+  }
+
+private:
+  void Deliver(std::vector<directory_action> aActions)
+  {
+    std::deque<directory_action> pending(aActions.begin(), aActions.end());
+    for (; !pending.empty(); pending.pop_front()) {
+      auto const* const send = std::get_if<send_message>(&pending.front());
+      if (send == nullptr || !mDirectories.contains(send->mTo.mHost)) {
+        continue;
+      }
+      auto const replies =
+        mDirectories.at(send->mTo.mHost)
+          .Handle(
+            mNow,
+            member_message_received{
+              std::get<message_with_sender<member_message>>(send->mMessage) });
+      pending.insert(pending.end(), replies.begin(), replies.end());
+    }
+  }
+
+  core::time_point mNow = kStart;
+  std::map<std::string, member_directory> mDirectories;
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(Directory)
@@ -267,4 +333,29 @@
   BOOST_TEST(Sent<ping_ack>(actions).empty());
 }
 
+// Guards against a member that keeps the service of the process that had its
+// address before: the clock of the new instance may be behind.
+BOOST_DATA_TEST_CASE(NewProcessAtTheAddressReplacesTheFormerOne,
+                     boost::unit_test::data::make({ 500U, 1000U, 1500U }),
+                     newIncarnation)
+{
+  constexpr std::uint64_t kFormerIncarnation = 1000;
+  directory_group group;
+  for (std::string const name : { "seed", "one", "two" }) {
+    group.Start(Announce(name, 1));
+  }
+  auto reused = Announce("reused", kFormerIncarnation);
+  reused.mService = { "former" };
+  group.Start(reused);
+  group.RunUntil(kStart + 20s);
+  BOOST_REQUIRE(
+    (group.ServicesOf("reused") == std::set<std::string>{ "former" }));
+  reused.mIncarnation = { newIncarnation };
+  reused.mService = { "present" };
+  group.Start(reused);
+  group.RunUntil(kStart + 25s);
+  BOOST_TEST(
+    (group.ServicesOf("reused") == std::set<std::string>{ "present" }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
