LibTraffic: Report attempts to the state that they were started in

Cause: traffic_policy erased the state of a pool that the tables no longer listed, with its attempts in flight. When the pool returned it got new state, and the report found that one by its name. Within a pool, a report of an upstream that had left and returned was found by the name of the instance.

Each attempt has an id now. The selector keeps the attempts in flight and which stay of an upstream each belongs to, so that a report never counts for another stay or process. The policy keeps the state of a pool that has left the tables until its attempts have been reported; the pool gets no calls meanwhile. The invariant is stricter than before: a report that was made twice is found even if other attempts are in flight.

Tests that report attempts name them by id instead of by instance; their checks are unchanged.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -218,7 +218,7 @@
     result.mIsComplete ? outcome::kRan : result.mRefusal.mOutcome;
   mServices.mMetrics.CountAttempt(outcomeOfAttempt, Now() - started);
   traffic::attempt_report report;
-  report.mInstance = aChosen.mInstance;
+  report.mAttempt = aChosen.mAttempt;
   report.mOutcome = outcomeOfAttempt;
   if (!result.mIsComplete) {
     report.mReason = result.mRefusal.mReason;
@@ -230,20 +230,21 @@
   report.mServerError = mLastHttpStatus >= kFirstServerError;
   mServices.mPolicy.ReportAttempt(Now(), mRequest.mPool, report);
   if (!result.mIsComplete) {
-    LogFailedAttempt(report);
+    LogFailedAttempt(aChosen, report);
   }
   co_return result;
 }
 
 void
-call_runner::LogFailedAttempt(traffic::attempt_report const& aReport) const
+call_runner::LogFailedAttempt(traffic::chosen_upstream const& aChosen,
+                              traffic::attempt_report const& aReport) const
 {
   auto const& context = mRequest.mContext;
   auto line = core::LogInfo("attempt_failed");
   line.Field("request", context.mRequest.mValue)
     .Field("route", context.mRoute)
     .Field("pool", mRequest.mPool)
-    .Field("upstream", aReport.mInstance.mValue)
+    .Field("upstream", aChosen.mInstance.mValue)
     .Field("attempt", mAttempts)
     .Field("outcome", OutcomeName(aReport.mOutcome))
     .Field(
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -108,7 +108,8 @@
   task<bool> ObtainRetryPermit();
   task<bool> RequestPermitFromRoot();
   void SendBody(call_link& aLink, outgoing_stream& aStream);
-  void LogFailedAttempt(traffic::attempt_report const& aReport) const;
+  void LogFailedAttempt(traffic::chosen_upstream const& aChosen,
+                        traffic::attempt_report const& aReport) const;
   void LogRetry(core::retry_reason aReason, bool aIsRetried) const;
   call_head MakeHead() const;
   /// Returns the result of an attempt that is stopped locally: "not run" only
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/TrafficPolicy.h"
 
+#include "LibCore/Assert.h"
 #include "LibCore/Log.h"
 
 #include <algorithm>
@@ -106,10 +107,24 @@
     entry->second.mSelector.Configure(row, std::move(candidates));
   }
   std::erase_if(mPools, [this](auto const& aEntry) {
-    return !mView->Tables().mPools.contains(aEntry.first);
+    auto const& [name, state] = aEntry;
+    return !IsListed(name) && state.mSelector.InFlight() == 0;
   });
 }
 
+bool
+traffic_policy::IsListed(std::string const& aPool) const
+{
+  return mView->Tables().mPools.contains(aPool);
+}
+
+traffic_policy::pool_state*
+traffic_policy::FindPool(std::string const& aPool)
+{
+  auto const found = mPools.find(aPool);
+  return found == mPools.end() || !IsListed(aPool) ? nullptr : &found->second;
+}
+
 traffic::retry_allowance
 traffic_policy::RetryAllowanceFor(tables::pool const& aPool) const
 {
@@ -186,7 +201,7 @@
   std::uint32_t highest = 0;
   for (auto const& callee : mDownstreamDependency.RequiredCallees(aRoute)) {
     auto const pool = mPools.find(callee.mPool);
-    if (pool != mPools.end()) {
+    if (pool != mPools.end() && IsListed(callee.mPool)) {
       highest = std::max(highest,
                          pool->second.mSelector.Threshold(aNow, callee.mRoute));
     }
@@ -504,22 +519,22 @@
                                std::vector<core::instance_id> const& aTried)
 {
   std::scoped_lock const lock(mMutex);
-  auto const pool = mPools.find(aPool);
-  if (pool == mPools.end()) {
+  auto* const pool = FindPool(aPool);
+  if (!pool) {
     return call_refusal{ outcome::kNotRun,
                          refusal_reason::kNoUpstream,
                          kDefaultRetryAfter };
   }
   if (aTried.empty()) {
-    pool->second.mRetryRatio.CountCall(aNow);
+    pool->mRetryRatio.CountCall(aNow);
     if (aContext.mIsRepeat) {
-      pool->second.mRetryRatio.CountRepeat(aNow);
+      pool->mRetryRatio.CountRepeat(aNow);
     }
   }
   if (!aContext.mParent.IsEmpty() && aTried.empty()) {
     RecordCallee(aContext.mParent, { aPool, aContext.mRoute });
   }
-  auto const choice = pool->second.mSelector.Select(aNow, aContext, aTried);
+  auto const choice = pool->mSelector.Select(aNow, aContext, aTried);
   if (auto const* const refused =
         std::get_if<traffic::local_refusal>(&choice)) {
     return call_refusal{ outcome::kNotRun,
@@ -536,9 +551,7 @@
 {
   std::scoped_lock const lock(mMutex);
   auto const pool = mPools.find(aPool);
-  if (pool == mPools.end()) {
-    return;
-  }
+  CF_ASSERT(pool != mPools.end(), "an attempt ended at an unknown pool");
   pool->second.mSelector.Report(aNow, aReport);
 }
 
@@ -547,12 +560,12 @@
                             traffic::retry_facts aFacts)
 {
   std::scoped_lock const lock(mMutex);
-  auto const pool = mPools.find(aPool);
-  if (pool == mPools.end()) {
+  auto* const pool = FindPool(aPool);
+  if (!pool) {
     return std::nullopt;
   }
-  aFacts.mUsualLatency = pool->second.mSelector.UsualLatency();
-  return traffic::DecideRetry(aFacts, pool->second.mRetryRatio, mRandom);
+  aFacts.mUsualLatency = pool->mSelector.UsualLatency();
+  return traffic::DecideRetry(aFacts, pool->mRetryRatio, mRandom);
 }
 
 void
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -211,6 +211,9 @@
   bool IsUpstreamLeaving() const;
   void ConfigureAdmission(core::time_point aNow);
   void ConfigurePools();
+  bool IsListed(std::string const& aPool) const;
+  /// Returns the state of a pool, or null if the tables do not list the pool.
+  pool_state* FindPool(std::string const& aPool);
   /// Returns the retries at aPool that its table row and the settings allow
   /// this daemon.
   traffic::retry_allowance RetryAllowanceFor(tables::pool const& aPool) const;
@@ -226,6 +229,8 @@
   std::map<traffic::call_id, local_call> mLocalCalls;
   std::multimap<core::request_id, traffic::call_id> mLocalCallsByRequest;
   traffic::downstream_dependency mDownstreamDependency;
+  /// The state of a pool that has left the tables stays until its attempts have
+  /// been reported.
   std::map<std::string, pool_state> mPools;
   traffic::retry_budget mRetryBudget;
   std::set<core::address> mSenders;
--- a/Libraries/LibTraffic/UpstreamHealth.h
+++ b/Libraries/LibTraffic/UpstreamHealth.h
@@ -16,10 +16,13 @@
 /// lets senders that held back all calls notice a recovery.
 inline constexpr core::duration kLoadStatusLifetime{ 2'000'000 };
 
+/// Identifies an attempt among those of one upstream_selector.
+using upstream_attempt_id = core::number_id<struct upstream_attempt_tag>;
+
 /// How one attempt at an upstream ended, as seen by its sender.
 struct attempt_report
 {
-  core::instance_id mInstance;
+  upstream_attempt_id mAttempt;
   outcome mOutcome = outcome::kUnknown;
   /// Set when the attempt was refused or lost.
   std::optional<core::refusal_reason> mReason;
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -49,23 +49,20 @@
                              std::vector<candidate> aCandidates)
 {
   mSpill = aPool.mSpill;
-  auto previous = std::exchange(mUpstreams, {});
+  auto const previous = std::exchange(mUpstreams, {});
   for (auto& entry : aCandidates) {
     auto const known = previous.find(entry.mInstance);
     upstream next{ std::move(entry), {} };
     if (known != previous.end() &&
         known->second.mCandidate.mIncarnation == next.mCandidate.mIncarnation) {
       next.mHealth = known->second.mHealth;
-      previous.erase(known);
+      next.mHealthId = known->second.mHealthId;
+    } else {
+      next.mHealthId = ++mLastHealthId;
     }
     auto const id = next.mCandidate.mInstance;
     mUpstreams.emplace(id, std::move(next));
   }
-  for (auto const& [id, departed] : previous) {
-    if (departed.mHealth.InFlight() > 0) {
-      mDepartedInFlight[id] += departed.mHealth.InFlight();
-    }
-  }
 }
 
 selection
@@ -137,16 +134,11 @@
 void
 upstream_selector::Report(core::time_point aNow, attempt_report const& aReport)
 {
-  auto const departed = mDepartedInFlight.find(aReport.mInstance);
-  if (departed != mDepartedInFlight.end()) {
-    if (--departed->second == 0) {
-      mDepartedInFlight.erase(departed);
-    }
+  auto* const upstream = TakeAttempt(aReport.mAttempt);
+  if (!upstream) {
     return;
   }
-  auto const found = mUpstreams.find(aReport.mInstance);
-  CF_ASSERT(found != mUpstreams.end(), "a report names an unknown upstream");
-  found->second.mHealth.CountEnd(aNow, aReport);
+  upstream->mHealth.CountEnd(aNow, aReport);
   if (aReport.mLoadStatus) {
     mDownstreamThresholds[aReport.mRoute] = {
       aReport.mLoadStatus->mDownstreamThreshold, aNow
@@ -157,22 +149,20 @@
     auto const bytes = static_cast<double>(aReport.mBytes);
     mean = mean == 0 ? bytes : mean + kBytesWeight * (bytes - mean);
   }
-  if (Distance(found->second.mCandidate) == kOtherRegion) {
+  if (Distance(upstream->mCandidate) == kOtherRegion) {
     mInterRegionBytes += aReport.mBytes;
   }
 }
 
-std::uint32_t
-upstream_selector::InFlight() const
+upstream_selector::upstream*
+upstream_selector::TakeAttempt(upstream_attempt_id aAttempt)
 {
-  std::uint32_t sum = 0;
-  for (auto const& [id, entry] : mUpstreams) {
-    sum += entry.mHealth.InFlight();
-  }
-  for (auto const& [id, count] : mDepartedInFlight) {
-    sum += count;
-  }
-  return sum;
+  auto const started = mAttempts.extract(aAttempt);
+  CF_ASSERT(!started.empty(), "an attempt ended that was not started");
+  auto const found = mUpstreams.find(started.mapped().mInstance);
+  bool const hasLeft = found == mUpstreams.end() ||
+                       found->second.mHealthId != started.mapped().mHealthId;
+  return hasLeft ? nullptr : &found->second;
 }
 
 core::duration
@@ -326,7 +316,13 @@
     }
   }
   picked->mHealth.CountStart();
-  return { picked->mCandidate.mInstance, picked->mCandidate.mPeerAddress };
+  upstream_attempt_id const attempt{ ++mLastAttemptId };
+  mAttempts.emplace(
+    attempt,
+    started_attempt{ picked->mCandidate.mInstance, picked->mHealthId });
+  return { attempt,
+           picked->mCandidate.mInstance,
+           picked->mCandidate.mPeerAddress };
 }
 
 local_refusal
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -9,6 +9,7 @@
 #include "LibTraffic/AdmissionThreshold.h"
 #include "LibTraffic/UpstreamHealth.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -44,6 +45,7 @@
 
 struct chosen_upstream
 {
+  upstream_attempt_id mAttempt;
   core::instance_id mInstance;
   core::address mPeerAddress;
 
@@ -73,7 +75,8 @@
 };
 
 /// The upstreams of one pool as seen by one daemon. For each chosen upstream,
-/// the owner calls Report() exactly once.
+/// the owner calls Report() exactly once, also if the upstream or the pool has
+/// left the tables and returned since.
 class upstream_selector
 {
 public:
@@ -101,7 +104,7 @@
                           std::string const& aRoute) const;
 
   /// Ends an attempt. The result of an attempt at an upstream that has left the
-  /// pool is ignored.
+  /// pool since is ignored, also if the upstream has returned.
   void Report(core::time_point aNow, attempt_report const& aReport);
 
   /// Returns the bytes of reported attempts that were sent to and received from
@@ -109,7 +112,7 @@
   std::uint64_t InterRegionBytes() const { return mInterRegionBytes; }
 
   /// Returns the number of attempts that have not been reported yet.
-  std::uint32_t InFlight() const;
+  std::size_t InFlight() const { return mAttempts.size(); }
 
   /// Returns the recent latency of the fastest upstream; 0 when unknown.
   core::duration UsualLatency() const;
@@ -119,6 +122,16 @@
   {
     candidate mCandidate;
     upstream_health mHealth;
+    /// Differs between stays of one instance in the pool whose health is kept
+    /// apart.
+    std::uint64_t mHealthId = 0;
+  };
+
+  /// An attempt that has not been reported yet.
+  struct started_attempt
+  {
+    core::instance_id mInstance;
+    std::uint64_t mHealthId = 0;
   };
 
   /// A threshold and when it was reported.
@@ -145,6 +158,9 @@
                 upstream const& aUpstream,
                 std::vector<core::instance_id> const& aTried) const;
   bool IsInPanicMode(core::time_point aNow) const;
+  /// Removes an attempt. Returns the upstream that it was started at, or null
+  /// if that has left the pool since.
+  upstream* TakeAttempt(upstream_attempt_id aAttempt);
   /// Returns the downstream threshold of aRoute; 0 if it is unknown or has
   /// expired.
   std::uint32_t DownstreamThreshold(core::time_point aNow,
@@ -172,8 +188,9 @@
   tables::spill_scope mSpill = tables::spill_scope::kAll;
   /// Ordered, so that runs with the same seed are identical.
   std::map<core::instance_id, upstream> mUpstreams;
-  /// Unreported attempts at upstreams that have left the pool.
-  std::map<core::instance_id, std::uint32_t> mDepartedInFlight;
+  std::map<upstream_attempt_id, started_attempt> mAttempts;
+  std::uint64_t mLastAttemptId = 0;
+  std::uint64_t mLastHealthId = 0;
   /// Downstream threshold by route, from the last load status of any upstream.
   std::map<std::string, reported_threshold> mDownstreamThresholds;
   /// Moving average of the bytes of a call, by route.
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <deque>
+#include <map>
 #include <set>
 
 using namespace cranberryfold;
@@ -43,7 +45,18 @@
     if (auto const* const refusal = std::get_if<local_refusal>(&selected)) {
       return std::string(core::ReasonName(refusal->mReason));
     }
-    return std::get<chosen_upstream>(selected).mInstance.mValue;
+    auto const& chosen = std::get<chosen_upstream>(selected);
+    mAttempts[chosen.mInstance.mValue].push_back(chosen.mAttempt);
+    return chosen.mInstance.mValue;
+  }
+
+  /// Returns the oldest attempt at aName that has not been reported.
+  upstream_attempt_id TakeAttempt(std::string const& aName)
+  {
+    auto& attempts = mAttempts.at(aName);
+    auto const oldest = attempts.front();
+    attempts.pop_front();
+    return oldest;
   }
 
   void Report(std::string const& aName,
@@ -52,7 +65,7 @@
               std::optional<load_status> aLoadStatus = {})
   {
     mSelector.Report(mNow,
-                     { { aName },
+                     { TakeAttempt(aName),
                        aOutcome,
                        aReason,
                        std::chrono::milliseconds(5),
@@ -81,6 +94,8 @@
   upstream_selector mSelector;
   tables::pool mPool;
   std::vector<candidate> mCandidates;
+  /// Attempts that have not been reported, by instance.
+  std::map<std::string, std::deque<upstream_attempt_id>> mAttempts;
   call_context mContext;
   core::time_point mNow = kStart;
   /// Bytes of each attempt.
@@ -304,7 +319,7 @@
   for (int count = 0; count < 200; ++count) {
     auto const name = run.Select();
     attempt_report report;
-    report.mInstance = { name };
+    report.mAttempt = run.TakeAttempt(name);
     report.mOutcome = outcome::kRan;
     report.mServerError = name == "a";
     errors += report.mServerError ? 1 : 0;
@@ -328,7 +343,7 @@
 {
   fixture run;
   attempt_report report;
-  report.mInstance = { run.Select() };
+  report.mAttempt = run.TakeAttempt(run.Select());
   report.mOutcome = outcome::kRan;
   report.mRoute = "read";
   report.mLoadStatus = load_status{ 0, 10, 0, false, 0, kShedPositions };
@@ -366,4 +381,33 @@
   BOOST_TEST(run.mSelector.InFlight() == 0U);
 }
 
+// Guards against a report of an attempt that was made before its upstream left
+// the pool, which counts for the upstream's present stay.
+BOOST_AUTO_TEST_CASE(ReportsOfFormerStaysAreIgnored)
+{
+  fixture run;
+  auto const members = run.mCandidates;
+  BOOST_TEST(run.Select() == "near");
+  run.mSelector.Configure(run.mPool, { members.begin() + 1, members.end() });
+  run.mSelector.Configure(run.mPool, members);
+  BOOST_TEST(run.Select() == "near");
+  run.Report("near", outcome::kUnknown, refusal_reason::kPeerLost);
+  BOOST_TEST(run.mSelector.InFlight() == 1U);
+  BOOST_TEST(run.Select() == "near");
+}
+
+// Guards against a report of an attempt at an earlier process of an upstream,
+// which counts for the present one.
+BOOST_AUTO_TEST_CASE(ReportsOfFormerIncarnationsAreIgnored)
+{
+  fixture run;
+  BOOST_TEST(run.Select() == "near");
+  run.mCandidates.front().mIncarnation = { 2 };
+  run.mSelector.Configure(run.mPool, run.mCandidates);
+  BOOST_TEST(run.Select() == "near");
+  run.Report("near", outcome::kUnknown, refusal_reason::kPeerLost);
+  BOOST_TEST(run.mSelector.InFlight() == 1U);
+  BOOST_TEST(run.Select() == "near");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/RandomRun/OverloadMesh.h
+++ b/Utilities/RandomRun/OverloadMesh.h
@@ -106,6 +106,7 @@
     core::timer_id mDeadlineTimer;
     /// The outstanding attempt; 0 between attempts.
     std::uint64_t mAttempt = 0;
+    traffic::upstream_attempt_id mSelected;
     core::time_point mSent;
     std::size_t mTarget = 0;
     std::vector<core::instance_id> mTried;
--- a/Utilities/RandomRun/OverloadSender.cpp
+++ b/Utilities/RandomRun/OverloadSender.cpp
@@ -52,6 +52,7 @@
   auto const& chosen = std::get<traffic::chosen_upstream>(selected);
   auto const attempt = ++mLastId;
   call.mAttempt = attempt;
+  call.mSelected = chosen.mAttempt;
   call.mSent = aNow;
   call.mTarget = mNodeOf.at(chosen.mInstance);
   if (mPolicy.mRetriesPerHop == 0) {
@@ -88,7 +89,7 @@
   auto& from = *mNodes.at(aCall.mCall.mFrom);
   from.mSelectors.at(aCall.mCall.mService)
     ->Report(aNow,
-             { mNodes.at(aCall.mTarget)->mInstance,
+             { aCall.mSelected,
                aEnd.mOutcome,
                aEnd.mReason,
                aNow - aCall.mSent,
