random_run: Draw one random number per statement

RandomRun/TrafficRun/FailsWithoutEpochFence (seed 3) and FailsWithoutLifeFence (seed 17) failed on arm64 in each run: "all invariants held", where a violation is expected.

Cause: three faults drew the instance and the time in the arguments of one call. The compiler chooses the order, and GCC chooses another one on arm64 than on x86-64, so that a seed named another run there.

The time is drawn first now, as GCC does on x86-64, where the seeds were found. No other two draws in one full expression were found in Utilities, Tests and Libraries, apart from assignments and braces, whose order is defined.

--- a/Utilities/RandomRun/TrafficRun.cpp
+++ b/Utilities/RandomRun/TrafficRun.cpp
@@ -158,14 +158,12 @@
       case 3:
         return ChangeNetwork();
       case 4:
-        Count("freezes");
-        return mWorld.Freeze(AnyDaemon(), Between(50, 3000));
+        return FreezeSome();
       case 5:
         Count("upstream_crashes_by_themselves");
         return mWorld.CrashUpstream(AnyDaemon());
       case 6:
-        Count("lost_answers_of_upstreams");
-        return mWorld.LoseAnswers(AnyDaemon(), Between(100, 2000));
+        return LoseAnswers();
       case 7:
         Count("answer_loss_changes");
         return mWorld.SetAnswerLoss(Random().Fraction() * 0.3);
@@ -199,13 +197,36 @@
                    Between(1, 20));
   }
 
-  void RestartSome()
+  // The order in which arguments are evaluated depends on the compiler. Each
+  // statement below draws one random number, so that a seed names the same run
+  // on every machine.
+
+  void FreezeSome()
+  {
+    Count("freezes");
+    auto const time = Between(50, 3000);
+    mWorld.Freeze(AnyDaemon(), time);
+  }
+
+  void LoseAnswers()
+  {
+    Count("lost_answers_of_upstreams");
+    auto const time = Between(100, 2000);
+    mWorld.LoseAnswers(AnyDaemon(), time);
+  }
+
+  void RestartOne()
   {
     Count("restarts");
-    mWorld.Restart(AnyDaemon(), Between(20, 1500));
+    auto const downTime = Between(20, 1500);
+    mWorld.Restart(AnyDaemon(), downTime);
+  }
+
+  void RestartSome()
+  {
+    RestartOne();
     if (Random().Chance(0.3)) {
-      Count("restarts");
-      mWorld.Restart(AnyDaemon(), Between(20, 1500));
+      RestartOne();
     }
   }
 
