LibDaemon: Keep the retries of a pool that leaves the tables

A pool that left the tables and returned got a new allowance of retries at each daemon, so that changes in quick succession allowed more retries than the tables and settings do.

The policy keeps the state of such a pool until nothing was counted within the time that decisions on retries look back on.

LibDaemon/TrafficPolicy/RetriesAreCountedAcrossAnAbsenceOfThePool fails with the code of (one retry is allowed after the return) and passes now.

--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -69,7 +69,7 @@
       break;
     }
   }
-  ConfigurePools();
+  ConfigurePools(aNow);
   mPoolSelector.RemoveRoutesNotIn(mView->Tables());
   mDownstreamDependency.RemoveRoutesNotIn(mView->Tables());
 }
@@ -89,7 +89,7 @@
 }
 
 void
-traffic_policy::ConfigurePools()
+traffic_policy::ConfigurePools(core::time_point aNow)
 {
   traffic::location const localLocation{ mSettings.mZone, mSettings.mRegion };
   for (auto const& [name, row] : mView->Tables().mPools) {
@@ -106,9 +106,10 @@
     entry->second.mRetryRatio.SetAllowance(allowance);
     entry->second.mSelector.Configure(row, std::move(candidates));
   }
-  std::erase_if(mPools, [this](auto const& aEntry) {
+  std::erase_if(mPools, [&](auto const& aEntry) {
     auto const& [name, state] = aEntry;
-    return !IsListed(name) && state.mSelector.InFlight() == 0;
+    return !IsListed(name) && state.mSelector.InFlight() == 0 &&
+           state.mRetryRatio.IsIdle(aNow);
   });
 }
 
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -210,7 +210,7 @@
   /// to stop.
   bool IsUpstreamLeaving() const;
   void ConfigureAdmission(core::time_point aNow);
-  void ConfigurePools();
+  void ConfigurePools(core::time_point aNow);
   bool IsListed(std::string const& aPool) const;
   /// Returns the state of a pool, or null if the tables do not list the pool.
   pool_state* FindPool(std::string const& aPool);
@@ -230,7 +230,8 @@
   std::multimap<core::request_id, traffic::call_id> mLocalCallsByRequest;
   traffic::downstream_dependency mDownstreamDependency;
   /// The state of a pool that has left the tables stays until its attempts have
-  /// been reported.
+  /// been reported and its retries no longer count, so that they are not
+  /// forgotten if the pool returns.
   std::map<std::string, pool_state> mPools;
   traffic::retry_budget mRetryBudget;
   std::set<core::address> mSenders;
--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -116,11 +116,28 @@
   mAllowance = aAllowance;
 }
 
+std::int64_t
+retry_ratio::BucketNumber(core::time_point aNow) const
+{
+  auto const length = mAllowance.mWindow.count() / kBuckets;
+  return aNow.time_since_epoch().count() / length;
+}
+
+bool
+retry_ratio::IsIdle(core::time_point aNow) const
+{
+  auto const oldest =
+    BucketNumber(aNow) - static_cast<std::int64_t>(mBuckets.size());
+  return std::all_of(
+    mBuckets.begin(), mBuckets.end(), [oldest](auto const& aEntry) {
+      return aEntry.mNumber < 0 || aEntry.mNumber <= oldest;
+    });
+}
+
 retry_ratio::bucket&
 retry_ratio::BucketAt(core::time_point aNow)
 {
-  auto const length = mAllowance.mWindow.count() / kBuckets;
-  auto const number = aNow.time_since_epoch().count() / length;
+  auto const number = BucketNumber(aNow);
   auto& found = mBuckets.at(static_cast<std::size_t>(number) % mBuckets.size());
   if (found.mNumber != number) {
     found = { number, 0, 0, {} };
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -101,6 +101,10 @@
   /// levels.
   bool Take(core::time_point aNow, std::uint32_t aLevel);
 
+  /// Returns whether nothing was counted within the time that decisions look
+  /// back on.
+  bool IsIdle(core::time_point aNow) const;
+
 private:
   /// Buckets in one window.
   static constexpr std::int64_t kBuckets = 20;
@@ -124,6 +128,7 @@
     counts_by_level mLevels{};
   };
 
+  std::int64_t BucketNumber(core::time_point aNow) const;
   bucket& BucketAt(core::time_point aNow);
   /// Returns the sums over the window that ends at aNow; mCalls is the maximum
   /// over this window and the ones half a window and a window earlier.
--- a/Tests/LibDaemon/TestTrafficPolicy.cpp
+++ b/Tests/LibDaemon/TestTrafficPolicy.cpp
@@ -84,6 +84,23 @@
     mPolicy.ReportAttempt(mNow, "stock", report);
   }
 
+  /// Requests retries until one is refused. Returns their number.
+  int TakeRetries()
+  {
+    traffic::retry_facts facts;
+    facts.mOutcome = outcome::kUnknown;
+    facts.mIdempotent = true;
+    facts.mTimeLeft = 10s;
+    facts.mNow = mNow;
+    facts.mLevel = tables::kShedLevels - 1;
+    for (int taken = 0;; ++taken) {
+      auto const decision = mPolicy.DecideRetry("stock", facts);
+      if (!decision || !decision->mBackoff) {
+        return taken;
+      }
+    }
+  }
+
   daemon_settings mSettings = MakeSettings();
   core::time_point mNow = kStart;
   core::incarnation mIncarnation{ 1 };
@@ -147,6 +164,19 @@
   End(chosen);
 }
 
+// Guards against more retries than the tables allow when a pool leaves the
+// tables and returns, which gave it a new allowance.
+BOOST_AUTO_TEST_CASE(RetriesAreCountedAcrossAnAbsenceOfThePool)
+{
+  for (int call = 0; call < 20; ++call) {
+    End(Start());
+  }
+  BOOST_TEST(TakeRetries() > 0);
+  Unlist();
+  List("stock");
+  BOOST_TEST(TakeRetries() == 0);
+}
+
 // Guards against an abort of the daemon in any order of changes of the tables,
 // new processes of upstreams, and ends of attempts.
 BOOST_AUTO_TEST_CASE(AttemptsEndInAnyOrderOfChanges)
