--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -216,7 +216,10 @@
                  std::string const& aPool) const;
   /// Records the pools that the next tables take from the local service.
   void RecordFormerPools(core::time_point aNow, tables::table_set const& aNext);
-  void ConfigurePools();
+  void ConfigurePools(core::time_point aNow);
+  bool IsListed(std::string const& aPool) const;
+  /// Returns the state of a pool, or null if the tables do not list the pool.
+  pool_state* FindPool(std::string const& aPool);
   /// Returns the retries at aPool that its table row and the settings allow
   /// this daemon.
   traffic::retry_allowance RetryAllowanceFor(tables::pool const& aPool) const;
@@ -232,6 +235,9 @@
   std::map<traffic::call_id, local_call> mLocalCalls;
   std::multimap<core::request_id, traffic::call_id> mLocalCallsByRequest;
   traffic::downstream_dependency mDownstreamDependency;
+  /// The state of a pool that has left the tables stays until its attempts have
+  /// been reported and its retries no longer count, so that they are not
+  /// forgotten if the pool returns.
   std::map<std::string, pool_state> mPools;
   /// Pools that the local service lost to newer tables, and when.
   std::map<std::string, core::time_point> mFormerPools;
