--- a/Libraries/LibControl/Events.h
+++ b/Libraries/LibControl/Events.h
@@ -50,8 +50,9 @@
   bool operator==(journal_synced const&) const = default;
 };
 
-/// A write or sync failed. The replica stops taking part in the group until its
-/// owner creates a new one from the files on disk.
+/// A write or sync failed. The replica never takes part in the group again; its
+/// owner replaces it by a new one from the files on disk, since what the disk
+/// holds may differ from the memory of this one.
 struct journal_failed
 {
   core::error mError;
--- a/Libraries/LibControl/FileJournal.cpp
+++ b/Libraries/LibControl/FileJournal.cpp
@@ -176,6 +176,14 @@
   return {};
 }
 
+core::result<void>
+file_journal::Rewrite(recovered_state const& aState)
+{
+  CloseJournal();
+  BOOST_LEAF_CHECK(ReplaceFile("journal", FrameJournal(mGeneration, aState)));
+  return OpenJournal();
+}
+
 core::result<void>
 file_journal::Append(append_journal const& aRecords)
 {
@@ -202,6 +210,9 @@
 core::result<void>
 file_journal::WriteSnapshot(write_snapshot const& aSnapshot)
 {
+  if (mJournalDescriptor < 0) {
+    return StorageError("write_snapshot", PathOf("snapshot"), EBADF);
+  }
   return StoreSnapshot({ mGeneration + 1,
                          aSnapshot.mHardState,
                          aSnapshot.mSnapshot,
--- a/Libraries/LibControl/FileJournal.h
+++ b/Libraries/LibControl/FileJournal.h
@@ -19,8 +19,8 @@
 
 /// Stores the state of one replica in the files `identity`, `snapshot` and
 /// `journal` of a data directory. All calls block until the data is on stable
-/// storage. Not thread-safe. After an error only Load() may be called, since
-/// the content of a file is unknown after a failed sync.
+/// storage. Not thread-safe. After an error, Append() and WriteSnapshot() fail
+/// until Load(), since the content of a file is unknown after a failed sync.
 class file_journal
 {
 public:
@@ -40,6 +40,12 @@
   /// suffix ".lost". Fails with kStorage.
   core::result<void> Reset(recovered_state const& aState);
 
+  /// Replaces the journal by a new file with the state that Load() returned.
+  /// Needed after an error: bytes of a failed write can often be read, but are
+  /// not on the disk, and a later sync does not write them. The other files are
+  /// only renamed into place once they are synced. Fails with kStorage.
+  core::result<void> Rewrite(recovered_state const& aState);
+
   /// Appends the records and syncs the journal. Fails with kStorage.
   core::result<void> Append(append_journal const& aRecords);
 
--- a/Libraries/LibControl/JournalFormat.cpp
+++ b/Libraries/LibControl/JournalFormat.cpp
@@ -176,6 +176,18 @@
   return FrameBytes(EncodeRecord(aRecord));
 }
 
+std::string
+FrameJournal(std::uint64_t aGeneration, recovered_state const& aState)
+{
+  auto bytes = FrameJournalHeader(aGeneration);
+  bytes += FrameRecord(aState.mHardState);
+  for (auto const& entry : aState.mEntries) {
+    bytes += FrameRecord(entry);
+  }
+  bytes += FrameRecord(commit_mark{ aState.mCommitted });
+  return bytes;
+}
+
 journal_content
 ParseJournal(std::string_view aBytes)
 {
--- a/Libraries/LibControl/JournalFormat.h
+++ b/Libraries/LibControl/JournalFormat.h
@@ -24,6 +24,11 @@
 std::string
 FrameRecord(journal_record const& aRecord);
 
+/// Returns a journal file with the hard state, entries and commit mark of
+/// aState, for the snapshot of aGeneration.
+std::string
+FrameJournal(std::uint64_t aGeneration, recovered_state const& aState);
+
 /// Returns aPayload as a frame; the snapshot and identity files hold one frame.
 std::string
 FrameBytes(std::string_view aPayload);
--- a/Libraries/LibControl/Replica.h
+++ b/Libraries/LibControl/Replica.h
@@ -6,6 +6,7 @@
 #include "LibCore/Random.h"
 #include "LibCore/StateChart.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -15,6 +16,10 @@
 namespace cranberryfold::control {
 
 inline constexpr core::duration kTickInterval = std::chrono::milliseconds(20);
+/// Pause before the first attempt to recover a replica whose journal failed.
+inline constexpr core::duration kFirstRecoveryPause =
+  std::chrono::milliseconds(100);
+inline constexpr core::duration kLongestRecoveryPause = std::chrono::seconds(1);
 /// Largest encoded edit and largest encoded tables. A snapshot with the largest
 /// tables and the history fits in one control frame, and so does an edit.
 inline constexpr std::size_t kMaximumEditBytes = 2UL * 1024UL * 1024UL;
@@ -23,6 +28,13 @@
 /// Largest control group, including learners.
 inline constexpr std::size_t kMaximumReplicas = 7;
 
+/// Returns the pause after a failed attempt to recover that followed aPause.
+constexpr core::duration
+NextRecoveryPause(core::duration aPause)
+{
+  return std::min(2 * aPause, kLongestRecoveryPause);
+}
+
 /// Safety mechanisms. A randomised run can disable each one to show that its
 /// checks then fail; the daemon enables all of them.
 struct replica_mechanisms
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -173,6 +173,12 @@
                       static_cast<double>(mDistributor.Revision().mValue));
     mMetrics.SetGauge("members",
                       static_cast<double>(mDirectory.Members().size()));
+    if (mReplica) {
+      mMetrics.SetGauge("control_journal_failures",
+                        static_cast<double>(mReplica->FailureCount()));
+      mMetrics.SetGauge("control_replica_recovering",
+                        mReplica->IsRecovering() ? 1 : 0);
+    }
   });
   asio::co_spawn(
     mContext, [this] { return RunTimers(); }, asio::detached);
--- a/Libraries/LibDaemon/ReplicaHost.cpp
+++ b/Libraries/LibDaemon/ReplicaHost.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Hash.h"
 #include "LibCore/Log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <filesystem>
 
@@ -34,11 +35,13 @@
 
 replica_host::replica_host(asio::io_context& aControl,
                            daemon_settings const& aSettings,
-                           hooks aHooks)
+                           hooks aHooks,
+                           control::file_hooks aFileHooks)
   : mControl(aControl)
   , mSettings(aSettings)
   , mHooks(std::move(aHooks))
-  , mJournal(aSettings.mControl->mDataFolder)
+  , mRecoveryTimer(aControl)
+  , mJournal(aSettings.mControl->mDataFolder, std::move(aFileHooks))
 {
 }
 
@@ -48,7 +51,7 @@
 }
 
 core::result<control::recovered_state>
-replica_host::Recover(bool aBootstrap)
+replica_host::Recover(bool aBootstrap, core::incarnation aLowest)
 {
   BOOST_LEAF_AUTO(outcome, mJournal.Load());
   if (outcome.mState) {
@@ -61,7 +64,8 @@
   auto state = isNewGroup
                  ? control::InitialState(mSettings.mInstance,
                                          InitialGroup(*mSettings.mControl))
-                 : control::EmptyState(mSettings.mInstance, NewIncarnation());
+                 : control::EmptyState(mSettings.mInstance,
+                                       std::max(NewIncarnation(), aLowest));
   core::LogWarning(isNewGroup ? "control_group_started" : "control_disk_lost")
     .Field("folder", mSettings.mControl->mDataFolder)
     .Field("reason", outcome.mLostReason);
@@ -69,20 +73,38 @@
   return state;
 }
 
+core::result<control::recovered_state>
+replica_host::RecoverAfterFailure(core::incarnation aLowest)
+{
+  BOOST_LEAF_AUTO(state, Recover(false, aLowest));
+  BOOST_LEAF_CHECK(mJournal.Rewrite(state));
+  return state;
+}
+
 core::result<void>
 replica_host::Start(bool aBootstrap)
 {
-  BOOST_LEAF_AUTO(state, Recover(aBootstrap));
+  BOOST_LEAF_AUTO(state, Recover(aBootstrap, {}));
+  BOOST_LEAF_CHECK(CreateReplica(std::move(state)));
+  Tick();
+  return {};
+}
+
+core::result<void>
+replica_host::CreateReplica(control::recovered_state aState)
+{
   control::replica_options options;
   for (auto const& member : mSettings.mControl->mInitialGroup) {
     options.mContacts.push_back(member.mInstance);
   }
+  for (auto const& [instance, address] : mContacts) {
+    options.mContacts.push_back(instance);
+  }
   auto const seed =
     core::Hash64(mSettings.mInstance.mValue, NewIncarnation().mValue);
   BOOST_LEAF_AUTO(created,
-                  control::replica::Create(options, std::move(state), seed));
+                  control::replica::Create(options, std::move(aState), seed));
   mReplica = std::move(created);
-  Tick();
   return {};
 }
 
@@ -214,17 +236,73 @@
   asio::post(mDiskThread, [this, aSequence, write = std::move(aWrite)] {
     auto const outcome = core::Attempt(write);
     asio::post(mControl, [this, aSequence, outcome] {
-      if (outcome) {
+      if (!outcome) {
+        OnJournalFailed(outcome.mError);
+      } else {
         Handle(control::journal_synced{ aSequence });
-        return;
       }
-      core::LogError("journal_failed")
-        .Field("error", core::FormatError(outcome.mError));
-      Handle(control::journal_failed{ outcome.mError });
     });
   });
 }
 
+void
+replica_host::OnJournalFailed(core::error const& aError)
+{
+  if (mFailedSince) {
+    return;
+  }
+  mFailedSince = Now();
+  ++mFailureCount;
+  core::LogError("journal_failed").Field("error", core::FormatError(aError));
+  Handle(control::journal_failed{ aError });
+  RecoverLater(control::kFirstRecoveryPause);
+}
+
+void
+replica_host::RecoverLater(core::duration aPause)
+{
+  mRecoveryTimer.expires_after(aPause);
+  mRecoveryTimer.async_wait([this, aPause](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    // A disk that was lost under this incarnation needs a higher one, even
+    // after the wall clock was set back.
+    core::incarnation const lowest{ Status().mIdentity.mIncarnation.mValue +
+                                    1 };
+    asio::post(mDiskThread, [this, aPause, lowest] {
+      auto outcome =
+        core::Attempt([this, lowest] { return RecoverAfterFailure(lowest); });
+      asio::post(mControl,
+                 [this, aPause, recovered = std::move(outcome)]() mutable {
+                   OnRecovered(std::move(recovered), aPause);
+                 });
+    });
+  });
+}
+
+void
+replica_host::OnRecovered(core::attempt<control::recovered_state> aOutcome,
+                          core::duration aPause)
+{
+  auto const created = core::Attempt([&]() -> core::result<void> {
+    if (!aOutcome) {
+      return core::Fail(aOutcome.mError);
+    }
+    return CreateReplica(std::move(*aOutcome));
+  });
+  if (!created) {
+    core::LogWarning("journal_recovery_failed")
+      .Field("error", core::FormatError(created.mError));
+    RecoverLater(control::NextRecoveryPause(aPause));
+    return;
+  }
+  core::LogInfo("control_replica_recovered")
+    .Field("out_ms", core::Milliseconds(Now() - *mFailedSince));
+  mFailedSince.reset();
+  Tick();
+}
+
 void
 replica_host::Perform(control::answer_edit const& aAction)
 {
--- a/Tests/LibControl/TestJournal.cpp
+++ b/Tests/LibControl/TestJournal.cpp
@@ -194,6 +194,58 @@
   }
 }
 
+// Guards against a snapshot of a replica that has failed, which was queued
+// behind the failed append.
+BOOST_AUTO_TEST_CASE(SnapshotAfterAFailedAppendIsRefused)
+{
+  WriteSampleJournal();
+  int writeError = 0;
+  file_journal journal(
+    mPath, { [&](std::string const&, std::size_t) { return writeError; }, {} });
+  Require([&] { return journal.Load(); });
+  auto const state = *Load().mState;
+  auto const before = Read("snapshot");
+  writeError = ENOSPC;
+  BOOST_TEST(!core::Attempt([&] {
+    return journal.Append({ 4, { Entry(5) } });
+  }));
+  writeError = 0;
+  BOOST_TEST(!core::Attempt([&] {
+    return journal.WriteSnapshot(
+      { 5, state.mHardState, state.mSnapshot, state.mEntries });
+  }));
+  BOOST_TEST((Read("snapshot") == before));
+}
+
+// Guards against a recovery that keeps a file whose bytes may not be on the
+// disk after a failed sync, and against one that loses the vote, the entries or
+// the commit mark, also if it fails itself.
+BOOST_AUTO_TEST_CASE(RewriteReplacesTheJournalAndKeepsTheState)
+{
+  WriteSampleJournal();
+  int syncError = 0;
+  file_journal journal(mPath,
+                       { {}, [&](std::string const&) { return syncError; } });
+  Require([&] { return journal.Load(); });
+  syncError = EIO;
+  BOOST_TEST(!core::Attempt([&] {
+    return journal.Append({ 4, { Entry(5), commit_mark{ 5 } } });
+  }));
+  std::filesystem::create_hard_link(FileName("journal"), FileName("unsafe"));
+  auto const state = *Load().mState;
+  BOOST_TEST(state.mCommitted == 5);
+  BOOST_TEST(!core::Attempt([&] { return journal.Rewrite(state); }));
+  BOOST_TEST((*Load().mState == state));
+  syncError = 0;
+  Require([&] { return journal.Load(); });
+  Require([&] { return journal.Rewrite(state); });
+  BOOST_TEST((*Load().mState == state));
+  BOOST_TEST(
+    !std::filesystem::equivalent(FileName("journal"), FileName("unsafe")));
+  Require([&] { return journal.Append({ 5, { Entry(6) } }); });
+  BOOST_TEST(Load().mState->mEntries.size() == state.mEntries.size() + 1);
+}
+
 // Guards against a crash after writing a snapshot and before replacing the
 // journal.
 BOOST_AUTO_TEST_CASE(JournalOlderThanTheSnapshotIsIgnored)
--- a/Tests/RandomRun/TestControlRun.cpp
+++ b/Tests/RandomRun/TestControlRun.cpp
@@ -114,7 +114,7 @@
 
 BOOST_AUTO_TEST_CASE(IncarnationFenceIsNeeded)
 {
-  CheckMechanism("incarnation_fence", "1", "which is not admitted");
+  CheckMechanism("incarnation_fence", "2", "which is not admitted");
 }
 
 BOOST_AUTO_TEST_CASE(SyncBeforeAnswerIsNeeded)
@@ -137,4 +137,18 @@
   CheckMechanism("pre_vote", "2", "raised its term without hearing");
 }
 
+// Guards against a replica that stays out after its disk refused a write
+// (review/2).
+BOOST_AUTO_TEST_CASE(JournalRecoveryIsNeeded)
+{
+  CheckMechanism("journal_recovery", "5", "has not converged");
+}
+
+// Guards against a recovery that keeps a journal whose last bytes may not be on
+// the disk.
+BOOST_AUTO_TEST_CASE(JournalRewriteIsNeeded)
+{
+  CheckMechanism("journal_rewrite", "1", "no edit was accepted after");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/RandomRun/ControlCommand.cpp
+++ b/Utilities/RandomRun/ControlCommand.cpp
@@ -68,7 +68,8 @@
 command_registration const kRegistration(
   "control",
   "consensus among control replicas under faults; --without may name "
-  "incarnation_fence, sync_before_answer, lease_check, edit_ids or pre_vote",
+  "incarnation_fence, sync_before_answer, lease_check, edit_ids, pre_vote, "
+  "journal_recovery or journal_rewrite",
   RunControl);
 
 }
--- a/Utilities/RandomRun/ControlDisk.cpp
+++ b/Utilities/RandomRun/ControlDisk.cpp
@@ -9,6 +9,7 @@
 control_disk::Reset(control::recovered_state const& aState)
 {
   mPending.clear();
+  mDurable.reset();
   mGeneration = 0;
   mImage.mIdentity =
     control::FrameBytes(control::EncodeIdentity(aState.mIdentity));
@@ -58,6 +59,11 @@
 void
 control_disk::Complete(pending_append const& aWrite)
 {
+  if (mDurable) {
+    // The bytes of the failed write are a hole before the new ones.
+    mDurable->mJournal->resize(mImage.mJournal->size());
+    *mDurable->mJournal += aWrite.mBytes;
+  }
   *mImage.mJournal += aWrite.mBytes;
 }
 
@@ -66,6 +72,7 @@
 {
   mImage.mSnapshot = aWrite.mBytes;
   mImage.mJournal = control::FrameJournalHeader(aWrite.mGeneration);
+  mDurable.reset();
 }
 
 bool
@@ -88,9 +95,38 @@
   return true;
 }
 
+void
+control_disk::FailWrites(core::random_source& aRandom)
+{
+  if (!mPending.empty()) {
+    mDurable = mDurable.value_or(mImage);
+    std::visit([&](auto const& aWrite) { LeavePart(aWrite, aRandom); },
+               mPending.front());
+  }
+  mPending.clear();
+}
+
+void
+control_disk::Rewrite(control::recovered_state const& aState)
+{
+  mImage.mJournal = control::FrameJournal(mGeneration, aState);
+  mDurable.reset();
+}
+
+void
+control_disk::FailRewrite(control::recovered_state const& aState)
+{
+  mDurable = mDurable.value_or(mImage);
+  mImage.mJournal = control::FrameJournal(mGeneration, aState);
+}
+
 bool
 control_disk::LosePower(core::random_source& aRandom)
 {
+  if (mDurable) {
+    mImage = std::move(*mDurable);
+    mDurable.reset();
+  }
   bool torn = false;
   if (!mPending.empty()) {
     torn =
@@ -105,6 +141,7 @@
 control_disk::Wipe()
 {
   mImage = {};
+  mDurable.reset();
   mPending.clear();
 }
 
--- a/Utilities/RandomRun/ControlDisk.h
+++ b/Utilities/RandomRun/ControlDisk.h
@@ -11,7 +11,9 @@
 
 /// The data directory of one replica in memory, with the same bytes as the real
 /// one. Writes wait in a queue until they are synced; a power loss drops the
-/// queue and may leave a part of the first write behind.
+/// queue and may leave a part of the first write behind. Bytes of a failed
+/// write can be read, but a power loss drops them even after later syncs, as
+/// page caches do.
 class control_disk
 {
 public:
@@ -26,6 +28,16 @@
   /// Completes writes up to aSequence.
   void SyncUpTo(std::uint64_t aSequence);
 
+  /// Fails the first write, which may leave a part behind, and drops the
+  /// others.
+  void FailWrites(core::random_source& aRandom);
+
+  /// Replaces the journal, as control::file_journal::Rewrite().
+  void Rewrite(control::recovered_state const& aState);
+
+  /// Fails Rewrite() in the sync after the new journal was renamed into place.
+  void FailRewrite(control::recovered_state const& aState);
+
   /// Loses what was not synced. Returns whether a torn write was left.
   bool LosePower(core::random_source& aRandom);
 
@@ -60,6 +72,8 @@
   bool LeavePart(pending_snapshot const& aWrite, core::random_source& aRandom);
 
   control::directory_contents mImage;
+  /// After a failed write, the files that a power loss leaves.
+  std::optional<control::directory_contents> mDurable;
   std::uint64_t mGeneration = 0;
   std::deque<pending_write> mPending;
 };
--- a/Utilities/RandomRun/ControlFaults.cpp
+++ b/Utilities/RandomRun/ControlFaults.cpp
@@ -165,7 +165,8 @@
 {
   control::replica_status newest;
   for (auto const& [instance, entry] : mNodes) {
-    if (!entry.mReplica || entry.mDiskFull || !entry.mDisk.IsIdle()) {
+    if (!entry.mReplica || entry.mJournalFailed ||
+        mNow < entry.mDiskFullUntil || !entry.mDisk.IsIdle()) {
       return false;
     }
     auto const status = entry.mReplica->Status(mNow + entry.mClockOffset);
@@ -220,15 +221,8 @@
   auto& full = AnyNode();
   ++mFaults["disk_full"];
   Note(full.mInstance.mValue + " has a full disk");
-  full.mDiskFull = true;
-  auto const process = full.mProcess;
-  mTimers.Once(mNow + RandomTime(mRandom, kLongestOutage),
-               [this, &full, process](core::time_point) {
-                 if (full.mProcess == process) {
-                   Stop(full);
-                   Start(full);
-                 }
-               });
+  full.mDiskFullUntil =
+    std::max(full.mDiskFullUntil, mNow + RandomTime(mRandom, kLongestOutage));
 }
 
 void
@@ -242,9 +236,7 @@
   mNotices.SetFaults({});
   for (auto& [instance, entry] : mNodes) {
     entry.mFrozenUntil = {};
-    if (entry.mDiskFull) {
-      Stop(entry);
-    }
+    entry.mDiskFullUntil = {};
     if (!entry.mReplica) {
       Start(entry);
     }
--- a/Utilities/RandomRun/ControlRun.cpp
+++ b/Utilities/RandomRun/ControlRun.cpp
@@ -23,6 +23,8 @@
 constexpr core::duration kEditingTime = std::chrono::milliseconds(8500);
 /// Enough to add or replace each member of the largest group.
 constexpr core::duration kGroupFormationTime = std::chrono::seconds(30);
+/// Chance that a disk fails during a recovery after it took the new journal.
+constexpr double kHalfRewriteChance = 0.3;
 /// A replica that heard from nobody for this long must not raise its term.
 constexpr core::duration kSilence = std::chrono::seconds(1);
 
@@ -31,11 +33,9 @@
 std::vector<std::string>
 control_run::Mechanisms()
 {
-  return { "incarnation_fence",
-           "sync_before_answer",
-           "lease_check",
-           "edit_ids",
-           "pre_vote" };
+  return { "incarnation_fence", "sync_before_answer", "lease_check",
+           "edit_ids",          "pre_vote",           "journal_recovery",
+           "journal_rewrite" };
 }
 
 control_run::control_run(run_options aOptions, std::size_t aInstances)
@@ -199,6 +199,16 @@
 
 void
 control_run::Start(node& aNode)
+{
+  aNode.mDiskFullUntil = {};
+  aNode.mLastReceived = mNow;
+  aNode.mClockOffset =
+    core::duration(static_cast<std::int64_t>(mRandom.Below(10000000000)));
+  StartReplica(aNode, LoadDisk(aNode));
+}
+
+control::recovered_state
+control_run::LoadDisk(node& aNode)
 {
   auto outcome = aNode.mDisk.Load();
   if (!outcome.mState) {
@@ -213,17 +223,20 @@
   }
   mChecks.Check(outcome.mState->mIdentity.mIncarnation == aNode.mIncarnation,
                 "a disk came back with another incarnation");
+  return std::move(*outcome.mState);
+}
+
+void
+control_run::StartReplica(node& aNode, control::recovered_state aState)
+{
   ++aNode.mProcess;
-  aNode.mTerm = outcome.mState->mHardState.mTerm;
+  aNode.mTerm = aState.mHardState.mTerm;
   aNode.mRevision = {};
   aNode.mLeads = false;
-  aNode.mDiskFull = false;
-  aNode.mLastReceived = mNow;
-  aNode.mClockOffset =
-    core::duration(static_cast<std::int64_t>(mRandom.Below(10000000000)));
+  aNode.mJournalFailed = false;
   auto created = core::Attempt([&] {
     return control::replica::Create(
-      ReplicaOptions(), std::move(*outcome.mState), mRandom.Below(UINT64_MAX));
+      ReplicaOptions(), std::move(aState), mRandom.Below(UINT64_MAX));
   });
   mChecks.Check(static_cast<bool>(created), created.mError.mDetail);
   aNode.mReplica = std::move(*created);
@@ -321,10 +334,8 @@
                  if (!aNode.mReplica || aNode.mProcess != process) {
                    return;
                  }
-                 if (aNode.mDiskFull) {
-                   Deliver(aNode,
-                           control::journal_failed{
-                             { core::error_code::kStorage, "sync_file" } });
+                 if (mNow < aNode.mDiskFullUntil) {
+                   FailJournal(aNode);
                    return;
                  }
                  aNode.mDisk.SyncUpTo(aSequence);
@@ -332,6 +343,57 @@
                });
 }
 
+void
+control_run::FailJournal(node& aNode)
+{
+  // The later writes of this replica fail too and report nothing new.
+  ++aNode.mProcess;
+  aNode.mJournalFailed = true;
+  aNode.mDisk.FailWrites(mRandom);
+  Deliver(
+    aNode,
+    control::journal_failed{ { core::error_code::kStorage, "sync_file" } });
+  if (mOptions.mWithout != "journal_recovery") {
+    RecoverLater(aNode, control::kFirstRecoveryPause);
+  }
+}
+
+void
+control_run::RecoverLater(node& aNode, core::duration aPause)
+{
+  auto const process = aNode.mProcess;
+  mTimers.Once(mNow + aPause, [this, &aNode, aPause, process](auto) {
+    if (!aNode.mReplica || aNode.mProcess != process) {
+      return;
+    }
+    if (mNow < aNode.mFrozenUntil || !Recover(aNode)) {
+      RecoverLater(aNode, control::NextRecoveryPause(aPause));
+    }
+  });
+}
+
+bool
+control_run::Recover(node& aNode)
+{
+  // What a frozen process has not handled yet belongs to the old replica.
+  Deliver(aNode, control::tick{});
+  if (mNow < aNode.mDiskFullUntil) {
+    ++mFaults["failed_recovery"];
+    auto const outcome = aNode.mDisk.Load();
+    if (outcome.mState && mRandom.Chance(kHalfRewriteChance)) {
+      aNode.mDisk.FailRewrite(*outcome.mState);
+    }
+    return false;
+  }
+  auto state = LoadDisk(aNode);
+  ++mFaults["recovery"];
+  if (mOptions.mWithout != "journal_rewrite") {
+    aNode.mDisk.Rewrite(state);
+  }
+  StartReplica(aNode, std::move(state));
+  return true;
+}
+
 void
 control_run::Perform(node& aNode, control::answer_edit const& aAction)
 {
--- a/Utilities/RandomRun/ControlRun.h
+++ b/Utilities/RandomRun/ControlRun.h
@@ -40,7 +40,8 @@
     core::instance_id mInstance;
     control_disk mDisk;
     std::unique_ptr<control::replica> mReplica;
-    /// Counts starts, so that events of an earlier process are dropped.
+    /// Counts starts, failures of the journal and recoveries, so that events of
+    /// an earlier replica are dropped.
     std::uint64_t mProcess = 0;
     core::incarnation mIncarnation{ 1 };
     /// Difference of this machine's clock to the virtual time.
@@ -52,7 +53,10 @@
     control::term_number mTerm = 0;
     control::replica_group mGroup;
     bool mLeads = false;
-    bool mDiskFull = false;
+    core::time_point mDiskFullUntil{};
+    /// A write failed and the replica was not replaced yet. It may not have
+    /// handled the failure, if the machine is frozen.
+    bool mJournalFailed = false;
   };
 
   struct observer
@@ -90,6 +94,15 @@
   void Step();
   void RunUntil(core::time_point aUntil);
   void Start(node& aNode);
+  /// Reads the disk of a node. A lost one is replaced by an empty one under a
+  /// new incarnation.
+  control::recovered_state LoadDisk(node& aNode);
+  void StartReplica(node& aNode, control::recovered_state aState);
+  void FailJournal(node& aNode);
+  void RecoverLater(node& aNode, core::duration aPause);
+  /// Replaces a replica whose journal failed, as the daemon does. Returns false
+  /// if the disk still fails.
+  bool Recover(node& aNode);
   void Stop(node& aNode);
   void Deliver(node& aNode, control::event const& aEvent);
   void Perform(node& aNode, control::send_message const& aAction);
