LibMembership: Confirm processes of the upstream that a daemon does not know

A daemon keeps what its upstream has reported in memory only. After a kill it took the first report that arrived for current, although that one may have been sent before the deregistration.

A report of a process that the tracker does not know is now kept as pending. The process is confirmed by the health endpoint: soon after the start of the daemon by a healthy response that names the process, later by any response that names it, since then all reports that are newer than a late one have reached this process of the daemon. Without such a response, a series of reports that lasts longer than a report may be late confirms it, so that a wrong health endpoint does not keep a sound upstream out for good. A drain that a pending process has reported, and a response with the leaving header, make it draining, never serving. A deregistration is kept for processes that are not known, too.

The daemon responds to the report of an unknown process when the health endpoint has responded, and acknowledges it only if the process is confirmed. The probe after a start stays as it is, and a sound upstream does not wait for a report.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -85,7 +85,12 @@
              [this](std::shared_ptr<routing_view const> aView) {
                OnView(std::move(aView));
              })
-  , mUpstream(mSettings.mUpstream.mAddress, mSettings.mUpstream.mService)
+  , mUpstream(mSettings.mUpstream.mAddress,
+              mSettings.mUpstream.mService,
+              mExtension.mReadHealth
+                ? membership::report_confirmation::kHealthEndpoint
+                : membership::report_confirmation::kNone,
+              Now())
   , mSeeds(mSettings.mSeeds)
   , mAdmin(
       mContext,
@@ -345,8 +350,8 @@
       return mAdmin.ReplaceTables(std::move(aId), std::move(aReplacement));
     },
     [this] { return mAdmin.ReadTables(); },
-    [this](membership::upstream_report const& aReport) {
-      return ReportUpstream(aReport);
+    [this](membership::upstream_report aReport) {
+      return ReportUpstream(std::move(aReport));
     },
     [this] { return mAdmin.NotReadyReason(); },
   });
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -50,8 +50,10 @@
   void StartGrace();
   void Stop();
   admin_handler MakeAdminHandler();
-  std::optional<membership::report_outcome> ReportUpstream(
-    membership::upstream_report const& aReport);
+  /// Responds to the report of a process that is not known only when the health
+  /// endpoint has responded.
+  task<std::optional<membership::report_outcome>> ReportUpstream(
+    membership::upstream_report aReport);
   void ApplyUpstreamStatus();
   /// Logs the refusals and retries since the last call, by reason.
   void LogRefusalCounts();
@@ -66,6 +68,9 @@
   /// Returns the health path of this daemon's service in the tables; empty
   /// while they are unknown.
   std::string OwnHealthPath() const;
+  /// Queries the health endpoint, or waits for the query that is running, and
+  /// passes the response to the tracker. Returns whether a query was sent.
+  task<bool> QueryHealth();
   task<void> WatchSignals();
   task<void> WaitUntilIdle();
   void OnUpstreamHealth(unsigned aStatus);
@@ -96,6 +101,8 @@
   std::optional<core::state_machine> mLifecycle;
   membership::upstream_tracker mUpstream;
   membership::upstream_status mAppliedUpstreamStatus;
+  bool mIsQueryingHealth = false;
+  asio::steady_timer mHealthQueryEnd{ mContext };
   std::vector<core::address> mSeeds;
   admin_api mAdmin;
   std::vector<std::unique_ptr<traffic_thread>> mThreads;
--- a/Libraries/LibDaemon/DaemonUpstream.cpp
+++ b/Libraries/LibDaemon/DaemonUpstream.cpp
@@ -16,21 +16,28 @@
 
 }
 
-std::optional<membership::report_outcome>
-mesh_daemon::ReportUpstream(membership::upstream_report const& aReport)
+task<std::optional<membership::report_outcome>>
+mesh_daemon::ReportUpstream(membership::upstream_report aReport)
 {
+  using membership::report_outcome;
   if (!mSettings.HasUpstream()) {
-    return std::nullopt;
+    co_return std::nullopt;
   }
-  auto const outcome = mUpstream.Handle(Now(), aReport);
-  if (outcome != membership::report_outcome::kAccepted) {
+  auto outcome = mUpstream.Handle(Now(), aReport);
+  ApplyUpstreamStatus();
+  if (outcome == report_outcome::kUnconfirmed) {
+    co_await QueryHealth();
+    outcome = mUpstream.IsOfPresentProcess(aReport)
+                ? report_outcome::kAccepted
+                : report_outcome::kUnconfirmed;
+  }
+  if (outcome != report_outcome::kAccepted) {
     core::LogWarning("upstream_report_ignored")
       .Field("upstream", aReport.mId.mValue)
       .Field("sequence", static_cast<std::int64_t>(aReport.mSequence))
       .Field("reason", membership::ReportOutcomeName(outcome));
   }
-  ApplyUpstreamStatus();
-  return outcome;
+  co_return outcome;
 }
 
 void
@@ -134,25 +141,36 @@
     if (mIsStopped || !mUpstream.Status().mId.IsEmpty()) {
       co_return;
     }
-    auto const path = OwnHealthPath();
-    if (path.empty()) {
-      continue;
-    }
-    ++probes;
-    auto const response =
-      co_await FetchHealth(mSettings.mUpstream.mAddress, path);
-    // The upstream may have reported during the query.
-    if (!response || !mUpstream.Status().mId.IsEmpty()) {
-      continue;
-    }
-    if (auto report = mExtension.mReadHealth(*response)) {
-      report->mAddress = mSettings.mUpstream.mAddress;
-      report->mService = mSettings.mUpstream.mService;
-      ReportUpstream(*report);
+    if (co_await QueryHealth()) {
+      ++probes;
     }
   }
 }
 
+task<bool>
+mesh_daemon::QueryHealth()
+{
+  if (mIsQueryingHealth) {
+    co_await mHealthQueryEnd.async_wait(kAsTuple);
+    co_return false;
+  }
+  auto path = OwnHealthPath();
+  if (path.empty()) {
+    co_return false;
+  }
+  mIsQueryingHealth = true;
+  mHealthQueryEnd.expires_at(asio::steady_timer::time_point::max());
+  auto const response =
+    co_await FetchHealth(mSettings.mUpstream.mAddress, std::move(path));
+  if (response) {
+    mUpstream.HandleHealth(Now(), mExtension.mReadHealth(*response));
+    ApplyUpstreamStatus();
+  }
+  mIsQueryingHealth = false;
+  mHealthQueryEnd.cancel();
+  co_return true;
+}
+
 void
 mesh_daemon::OnUpstreamHealth(unsigned aStatus)
 {
--- a/Libraries/LibDaemon/Extension.h
+++ b/Libraries/LibDaemon/Extension.h
@@ -47,8 +47,8 @@
   std::function<task<confirmed_tables>()> mReadTables;
   /// Handles a report of the local upstream. Returns std::nullopt if this
   /// instance has no upstream.
-  std::function<std::optional<membership::report_outcome>(
-    membership::upstream_report const&)>
+  std::function<task<std::optional<membership::report_outcome>>(
+    membership::upstream_report)>
     mReportUpstream;
   /// Returns why the daemon is not ready; empty if it is ready.
   std::function<std::string()> mNotReadyReason;
@@ -65,12 +65,10 @@
   /// Creates the admin handler of a daemon. Without it, the daemon serves only
   /// its own interface.
   std::function<admin_handler(daemon_operations)> mMakeAdminHandler;
-  /// Parses a response of the upstream's health endpoint. Returns std::nullopt
-  /// if the upstream accepts no requests or the response lacks information.
-  /// Without it, the daemon waits for the upstream's own report.
-  std::function<std::optional<membership::upstream_report>(
-    http::response const&)>
-    mReadHealth;
+  /// Parses a response of the health endpoint of an upstream that reports
+  /// itself. Without it, the reports count without a confirmation, and the
+  /// daemon waits for the first one.
+  std::function<membership::upstream_health(http::response const&)> mReadHealth;
   /// Reloads the settings. Without it, they never change.
   std::function<core::result<daemon_settings>()> mLoadSettings;
 };
--- a/Libraries/LibMembership/UpstreamTracker.cpp
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -1,5 +1,7 @@
 #include "LibMembership/UpstreamTracker.h"
 
+#include <algorithm>
+
 namespace cranberryfold::membership {
 
 namespace {
@@ -7,6 +9,27 @@
 /// Reports arrive every 1.5 s and may be seconds late; the upstream is
 /// considered unavailable after four missing reports.
 constexpr core::duration kReportTimeout = std::chrono::seconds(6);
+/// Reports may be seconds late. A report that arrives later than this after a
+/// moment was sent after that moment.
+constexpr core::duration kMaximumReportDelay = std::chrono::seconds(6);
+/// Limits for what other writers can make the daemon keep.
+constexpr std::size_t kMaximumPendingProcesses = 8;
+constexpr std::size_t kMaximumDepartures = 16;
+
+/// Returns whether two start times of processes with the same id may belong to
+/// the same process.
+bool
+CanBeSameStart(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  return aLeft == 0 || aRight == 0 || aLeft == aRight;
+}
+
+bool
+CanBeSameProcess(upstream_report const& aLeft, upstream_report const& aRight)
+{
+  return aLeft.mId == aRight.mId &&
+         CanBeSameStart(aLeft.mStartMilliseconds, aRight.mStartMilliseconds);
+}
 
 }
 
@@ -20,14 +43,20 @@
       return "outdated";
     case report_outcome::kForeign:
       return "foreign";
+    case report_outcome::kUnconfirmed:
+      return "unconfirmed";
   }
   return "foreign";
 }
 
 upstream_tracker::upstream_tracker(core::address aAddress,
-                                   core::service_id aService)
+                                   core::service_id aService,
+                                   report_confirmation aConfirmation,
+                                   core::time_point aStarted)
   : mAddress(std::move(aAddress))
   , mService(std::move(aService))
+  , mConfirmation(aConfirmation)
+  , mStarted(aStarted)
 {
 }
 
@@ -67,33 +96,192 @@
          aReport.mStartMilliseconds != mStartMilliseconds;
 }
 
+bool
+upstream_tracker::HasDeparted(upstream_report const& aReport) const
+{
+  return std::any_of(
+    mDepartures.begin(), mDepartures.end(), [&](departure const& aDeparture) {
+      return aDeparture.mId == aReport.mId &&
+             CanBeSameStart(aDeparture.mStartMilliseconds,
+                            aReport.mStartMilliseconds);
+    });
+}
+
 report_outcome
 upstream_tracker::Handle(core::time_point aNow, upstream_report const& aReport)
 {
-  bool const isDeregistration = aReport.mLifecycle == lifecycle_state::kLeft;
-  bool const isForeign =
-    aReport.mService != mService || aReport.mAddress != mAddress;
-  // A deregistration contains only the id of the process.
-  if (!isDeregistration && isForeign) {
+  DropExpired(aNow);
+  if (aReport.mLifecycle == lifecycle_state::kLeft) {
+    return HandleDeregistration(aNow, aReport);
+  }
+  if (aReport.mService != mService || aReport.mAddress != mAddress) {
     return report_outcome::kForeign;
   }
-  if (isDeregistration && !mStatus.mId.IsEmpty() &&
-      aReport.mId != mStatus.mId) {
+  if (IsOutdated(aReport) || HasDeparted(aReport)) {
     return report_outcome::kOutdated;
   }
-  if (IsOutdated(aReport)) {
+  if (mConfirmation != report_confirmation::kNone &&
+      !IsOfPresentProcess(aReport)) {
+    return HandlePending(aNow, aReport);
+  }
+  Install(aNow, aReport);
+  return report_outcome::kAccepted;
+}
+
+report_outcome
+upstream_tracker::HandleDeregistration(core::time_point aNow,
+                                       upstream_report const& aReport)
+{
+  // A deregistration contains only the id of the process and, in most cases,
+  // its start time.
+  bool const isOfPresentId = aReport.mId == mStatus.mId;
+  if (isOfPresentId && IsOutdated(aReport)) {
     return report_outcome::kOutdated;
   }
+  std::erase_if(mPending, [&](pending_process const& aPending) {
+    return CanBeSameProcess(aPending.mLatest, aReport);
+  });
+  auto const start = isOfPresentId && aReport.mStartMilliseconds == 0
+                       ? mStartMilliseconds
+                       : aReport.mStartMilliseconds;
+  if (mDepartures.size() == kMaximumDepartures) {
+    mDepartures.erase(mDepartures.begin());
+  }
+  mDepartures.push_back({ aReport.mId, start, aNow });
+  if (!isOfPresentId) {
+    return mStatus.mId.IsEmpty() ? report_outcome::kAccepted
+                                 : report_outcome::kOutdated;
+  }
+  auto left = aReport;
+  left.mSlots = mStatus.mSlots;
+  Install(aNow, left);
+  return report_outcome::kAccepted;
+}
+
+upstream_tracker::pending_process&
+upstream_tracker::AddPending(core::time_point aNow,
+                             upstream_report const& aReport)
+{
+  for (auto& pending : mPending) {
+    auto const& latest = pending.mLatest;
+    bool const isSame = latest.mId == aReport.mId &&
+                        latest.mStartMilliseconds == aReport.mStartMilliseconds;
+    if (!isSame) {
+      continue;
+    }
+    if (aReport.mSequence <= latest.mSequence) {
+      pending.mSeriesStart = aNow;
+    }
+    pending.mLatest = aReport;
+    pending.mLastReport = aNow;
+    return pending;
+  }
+  if (mPending.size() == kMaximumPendingProcesses) {
+    mPending.erase(mPending.begin());
+  }
+  mPending.push_back({ aReport, aNow, aNow });
+  return mPending.back();
+}
+
+upstream_tracker::pending_process const*
+upstream_tracker::FindPending(upstream_id const& aId) const
+{
+  pending_process const* found = nullptr;
+  for (auto const& pending : mPending) {
+    bool const isLater =
+      found == nullptr || pending.mLastReport >= found->mLastReport;
+    if (pending.mLatest.mId == aId && isLater) {
+      found = &pending;
+    }
+  }
+  return found;
+}
+
+report_outcome
+upstream_tracker::HandlePending(core::time_point aNow,
+                                upstream_report const& aReport)
+{
+  auto& pending = AddPending(aNow, aReport);
+  pending.mHasDrained |= aReport.mLifecycle == lifecycle_state::kDraining;
+  // The last report was sent after the first one arrived, so that it is newer
+  // than anything that the upstream reported to a former process of the daemon.
+  bool const isContinuing = aNow - pending.mSeriesStart >= kMaximumReportDelay;
+  bool const isPresentSilent =
+    mStatus.mId.IsEmpty() || aNow - mLastReport >= kMaximumReportDelay;
+  if (isContinuing && isPresentSilent) {
+    Install(aNow, aReport);
+    return report_outcome::kAccepted;
+  }
+  return report_outcome::kUnconfirmed;
+}
+
+void
+upstream_tracker::HandleHealth(core::time_point aNow,
+                               upstream_health const& aHealth)
+{
+  DropExpired(aNow);
+  if (aHealth.mId.IsEmpty()) {
+    return;
+  }
+  auto const* const pending = FindPending(aHealth.mId);
+  if (pending == nullptr) {
+    upstream_report found;
+    found.mId = aHealth.mId;
+    found.mSlots = aHealth.mSlots;
+    bool const isUsable = aHealth.mIsHealthy && !aHealth.mIsLeaving &&
+                          aHealth.mSlots > 0 && !HasDeparted(found);
+    if (isUsable && mStatus.mId.IsEmpty()) {
+      Install(aNow, found);
+    }
+    return;
+  }
+  // The endpoint may report a wrong state. Soon after the start, a report of
+  // "serving" may also be late, so both must agree. Later, the daemon itself
+  // has got all reports that are newer than a late one.
+  bool const isSettled = aNow - mStarted >= kMaximumReportDelay;
+  bool const isConfirmed = aHealth.mIsHealthy || aHealth.mIsLeaving ||
+                           pending->mHasDrained || isSettled;
+  if (!isConfirmed) {
+    return;
+  }
+  auto report = pending->mLatest;
+  if (pending->mHasDrained) {
+    report.mLifecycle = lifecycle_state::kDraining;
+  }
+  Install(aNow, report);
+  if (aHealth.mIsLeaving) {
+    MarkLeaving(report.mId);
+  }
+}
+
+void
+upstream_tracker::DropExpired(core::time_point aNow)
+{
+  std::erase_if(mPending, [aNow](pending_process const& aPending) {
+    return aNow - aPending.mLastReport >= kReportTimeout;
+  });
+  // A departure without start time would also keep out the next process with
+  // the same id.
+  std::erase_if(mDepartures, [aNow](departure const& aDeparture) {
+    return aDeparture.mStartMilliseconds == 0 &&
+           aNow - aDeparture.mTime >= kMaximumReportDelay;
+  });
+}
+
+void
+upstream_tracker::Install(core::time_point aNow, upstream_report const& aReport)
+{
   mIsLeaving = mIsLeaving && IsOfPresentProcess(aReport);
-  auto const slots = isDeregistration ? mStatus.mSlots : aReport.mSlots;
   mStatus = {
-    aReport.mId, slots, aReport.mLifecycle, aReport.mColdStartRemaining
+    aReport.mId, aReport.mSlots, aReport.mLifecycle, aReport.mColdStartRemaining
   };
   mStartMilliseconds = std::max(mStartMilliseconds, aReport.mStartMilliseconds);
   mSequence = aReport.mSequence;
   mLastReport = aNow;
+  std::erase_if(mPending, [&](pending_process const& aPending) {
+    return CanBeSameProcess(aPending.mLatest, aReport);
+  });
   ApplyLeaving();
-  return report_outcome::kAccepted;
 }
 
 void
--- a/Libraries/LibMembership/UpstreamTracker.h
+++ b/Libraries/LibMembership/UpstreamTracker.h
@@ -6,8 +6,9 @@
 #include "LibMembership/Member.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 /// Reports of an upstream to the daemon beside it.
 namespace cranberryfold::membership {
@@ -34,6 +35,19 @@
   bool operator==(upstream_report const&) const = default;
 };
 
+/// What the health endpoint of an upstream tells.
+struct upstream_health
+{
+  upstream_id mId;
+  /// 0 if the response does not tell them.
+  std::uint32_t mSlots = 0;
+  bool mIsHealthy = false;
+  /// The response states that the upstream is leaving.
+  bool mIsLeaving = false;
+
+  bool operator==(upstream_health const&) const = default;
+};
+
 /// The daemon's current knowledge of its upstream.
 struct upstream_status
 {
@@ -53,6 +67,18 @@
   /// For a service or address other than that of the daemon's upstream;
   /// ignored.
   kForeign,
+  /// From a process that is not known yet. The status does not follow it until
+  /// the process is confirmed.
+  kUnconfirmed,
+};
+
+/// Whether a process that is not known yet must be confirmed before its reports
+/// count. A daemon that has just started does not know which reports are late.
+enum class report_confirmation : std::uint8_t
+{
+  kNone,
+  /// The upstream has a health endpoint that names the process.
+  kHealthEndpoint,
 };
 
 std::string_view
@@ -64,12 +90,21 @@
 class upstream_tracker
 {
 public:
-  upstream_tracker(core::address aAddress, core::service_id aService);
+  /// aStarted is the start of the daemon.
+  upstream_tracker(
+    core::address aAddress,
+    core::service_id aService,
+    report_confirmation aConfirmation = report_confirmation::kNone,
+    core::time_point aStarted = {});
 
   /// Updates the status if the report is accepted. Returns whether it was and,
   /// if not, why.
   report_outcome Handle(core::time_point aNow, upstream_report const& aReport);
 
+  /// Confirms the process that the response names, or finds it before its first
+  /// report.
+  void HandleHealth(core::time_point aNow, upstream_health const& aHealth);
+
   /// Called when the upstream refuses connections or responds as another
   /// process. It receives no requests until its next report.
   void MarkUnavailable();
@@ -84,21 +119,61 @@
 
   upstream_status const& Status() const { return mStatus; }
 
+  /// Returns whether aReport is from the process that the status describes.
+  bool IsOfPresentProcess(upstream_report const& aReport) const;
+
 private:
+  /// Reports of a process that is not confirmed.
+  struct pending_process
+  {
+    upstream_report mLatest;
+    /// Start of the series of reports with increasing sequence numbers.
+    core::time_point mSeriesStart;
+    core::time_point mLastReport;
+    bool mHasDrained = false;
+  };
+
+  /// A process that has deregistered.
+  struct departure
+  {
+    upstream_id mId;
+    /// 0 if unknown.
+    std::uint64_t mStartMilliseconds = 0;
+    core::time_point mTime;
+  };
+
   bool IsOutdated(upstream_report const& aReport) const;
+  bool HasDeparted(upstream_report const& aReport) const;
+  report_outcome HandleDeregistration(core::time_point aNow,
+                                      upstream_report const& aReport);
+  /// Keeps the report of an unknown process. Returns kAccepted if its series of
+  /// reports has confirmed the process.
+  report_outcome HandlePending(core::time_point aNow,
+                               upstream_report const& aReport);
+  pending_process& AddPending(core::time_point aNow,
+                              upstream_report const& aReport);
+  /// Returns the process aId that reported last, or nullptr.
+  pending_process const* FindPending(upstream_id const& aId) const;
+  /// Removes departures and pending processes of which no report can arrive
+  /// anymore.
+  void DropExpired(core::time_point aNow);
+  void Install(core::time_point aNow, upstream_report const& aReport);
   void ApplyLeaving();
-  bool IsOfPresentProcess(upstream_report const& aReport) const;
   /// Returns whether both start times are known and differ.
   bool HasOtherStart(upstream_report const& aReport) const;
 
   core::address mAddress;
   core::service_id mService;
+  report_confirmation mConfirmation;
+  core::time_point mStarted;
   upstream_status mStatus;
   std::uint64_t mStartMilliseconds = 0;
   std::uint64_t mSequence = 0;
   core::time_point mLastReport{};
   /// The present process has stated in a response that it is leaving.
   bool mIsLeaving = false;
+  std::vector<pending_process> mPending;
+  std::vector<departure> mDepartures;
 };
 
 }
--- a/Tests/LibMembership/TestUpstreamTracker.cpp
+++ b/Tests/LibMembership/TestUpstreamTracker.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+using namespace std::chrono_literals;
 using namespace cranberryfold;
 using namespace cranberryfold::membership;
 
@@ -33,6 +34,38 @@
   return report;
 }
 
+upstream_report
+Draining(std::string aId, std::uint64_t aStarted, std::uint64_t aSequence)
+{
+  auto report = Report(std::move(aId), aStarted, aSequence);
+  report.mLifecycle = lifecycle_state::kDraining;
+  return report;
+}
+
+/// A daemon that starts beside a running upstream with a health endpoint.
+struct started_daemon
+{
+  upstream_tracker mTracker{ kAddress,
+                             kService,
+                             report_confirmation::kHealthEndpoint,
+                             kStart };
+  core::time_point mNow = kStart;
+
+  report_outcome Handle(upstream_report const& aReport)
+  {
+    return mTracker.Handle(mNow, aReport);
+  }
+
+  void Health(std::string aId, bool aIsHealthy, bool aIsLeaving = false)
+  {
+    mTracker.HandleHealth(mNow,
+                          { { std::move(aId) }, 10, aIsHealthy, aIsLeaving });
+  }
+
+  lifecycle_state State() const { return mTracker.Status().mLifecycle; }
+  std::string Id() const { return mTracker.Status().mId.mValue; }
+};
+
 struct tracker_fixture
 {
   upstream_tracker mTracker{ kAddress, kService };
@@ -149,3 +182,139 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamConfirmation, started_daemon)
+
+// Guards against requests to an upstream that has deregistered at the former
+// process of the daemon, and of which a late report arrives after the restart.
+BOOST_AUTO_TEST_CASE(LateReportAfterARestartOfTheDaemonIsNotEnough)
+{
+  Health("a", false);
+  BOOST_TEST((Handle(Report("a", 100, 8)) == report_outcome::kUnconfirmed));
+  Health("a", false);
+  BOOST_TEST((State() == lifecycle_state::kStarting));
+  mNow += 4s;
+  BOOST_TEST((Handle(Report("a", 100, 9)) == report_outcome::kUnconfirmed));
+  Health("a", false);
+  BOOST_TEST((State() == lifecycle_state::kStarting));
+}
+
+// Guards against a sound upstream that waits after a restart of its daemon.
+BOOST_AUTO_TEST_CASE(HealthEndpointConfirmsTheProcess)
+{
+  Handle(Report("a", 100, 8));
+  Health("a", true);
+  BOOST_TEST((State() == lifecycle_state::kServing));
+  BOOST_TEST((Handle(Report("a", 100, 9)) == report_outcome::kAccepted));
+}
+
+BOOST_AUTO_TEST_CASE(HealthEndpointIsFasterThanTheFirstReport)
+{
+  Health("a", true);
+  BOOST_TEST((State() == lifecycle_state::kServing));
+  BOOST_TEST(mTracker.Status().mSlots == 10U);
+  BOOST_TEST((Handle(Report("a", 100, 9)) == report_outcome::kAccepted));
+}
+
+// Guards against requests to an upstream whose health endpoint responds with
+// the status of a healthy one, but states that it is leaving.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamIsNotConfirmedAsServing)
+{
+  Health("a", true, true);
+  BOOST_TEST((State() == lifecycle_state::kStarting));
+  Handle(Report("a", 100, 8));
+  Health("a", true, true);
+  BOOST_TEST((State() == lifecycle_state::kDraining));
+  Handle(Report("a", 100, 9));
+  BOOST_TEST((State() == lifecycle_state::kDraining));
+}
+
+// Guards against a wrong response of the health endpoint that keeps a sound
+// upstream out of use for good.
+BOOST_AUTO_TEST_CASE(ContinuedReportsConfirmAProcessWithoutItsHealth)
+{
+  for (std::uint64_t sequence = 8; sequence < 12; ++sequence) {
+    BOOST_TEST(
+      (Handle(Report("a", 100, sequence)) == report_outcome::kUnconfirmed));
+    Health("a", false);
+    BOOST_TEST((State() == lifecycle_state::kStarting));
+    mNow += 1500ms;
+  }
+  BOOST_TEST((Handle(Report("a", 100, 12)) == report_outcome::kAccepted));
+  BOOST_TEST((State() == lifecycle_state::kServing));
+}
+
+// Guards against a wrong response of the health endpoint that keeps a new
+// process waiting at a daemon that has received all of its reports.
+BOOST_AUTO_TEST_CASE(UnhealthyResponseIdentifiesANewProcess)
+{
+  Health("a", true);
+  mNow += 60s;
+  Handle(Report("a", 100, 50));
+  BOOST_TEST((Handle(Report("b", 200, 1)) == report_outcome::kUnconfirmed));
+  BOOST_TEST(Id() == "a");
+  Health("b", false);
+  BOOST_TEST(Id() == "b");
+  BOOST_TEST((State() == lifecycle_state::kServing));
+}
+
+// Guards against a report in the name of a process that does not exist, after
+// which the upstream refuses all requests as misdirected.
+BOOST_AUTO_TEST_CASE(ReportOfAnUnknownProcessDoesNotReplaceThePresentOne)
+{
+  Health("a", true);
+  for (std::uint64_t sequence = 1; sequence < 20; ++sequence) {
+    mNow += 1500ms;
+    BOOST_TEST(
+      (Handle(Report("a", 100, sequence)) == report_outcome::kAccepted));
+    BOOST_TEST(
+      (Handle(Draining("x", 200, sequence)) == report_outcome::kUnconfirmed));
+    Health("a", false);
+    BOOST_TEST(Id() == "a");
+    BOOST_TEST((State() == lifecycle_state::kServing));
+  }
+}
+
+// Guards against reports in the names of many processes that displace the true
+// one while it waits for its confirmation.
+BOOST_AUTO_TEST_CASE(HealthEndpointFindsTheProcessAmongUnknownOnes)
+{
+  Handle(Report("a", 100, 8));
+  for (int number = 0; number < 100; ++number) {
+    Handle(Report("x" + std::to_string(number), 200, 1));
+  }
+  Health("a", true);
+  BOOST_TEST(Id() == "a");
+  BOOST_TEST((State() == lifecycle_state::kServing));
+}
+
+// Guards against a delayed report that undoes a drain before the process is
+// confirmed.
+BOOST_AUTO_TEST_CASE(LateReportDoesNotUndoAnUnconfirmedDrain)
+{
+  Handle(Draining("a", 100, 9));
+  Handle(Report("a", 100, 8));
+  Health("a", true);
+  BOOST_TEST((State() == lifecycle_state::kDraining));
+}
+
+// Guards against an acknowledged deregistration that is forgotten, because the
+// daemon did not know the process yet.
+BOOST_AUTO_TEST_CASE(DeregistrationOfAnUnknownProcessIsKept)
+{
+  Handle(Report("a", 100, 8));
+  BOOST_TEST((Handle(Deregistration("a")) == report_outcome::kAccepted));
+  BOOST_TEST((Handle(Report("a", 100, 7)) == report_outcome::kOutdated));
+  Health("a", true);
+  BOOST_TEST((State() == lifecycle_state::kStarting));
+  Handle(Report("b", 200, 1));
+  Health("b", true);
+  BOOST_TEST((State() == lifecycle_state::kServing));
+  auto ofNext = Deregistration("c");
+  ofNext.mStartMilliseconds = 300;
+  Handle(ofNext);
+  BOOST_TEST((Handle(Report("c", 300, 1)) == report_outcome::kOutdated));
+  BOOST_TEST((Handle(Report("c", 400, 1)) == report_outcome::kUnconfirmed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
