LibDaemon: Announce an upstream as serving only once there are tables

It still announced its upstream as serving, so that senders tried it in vain until the tables arrived.

The state "serving" is now announced when both the upstream and tables are there. In most starts the tables arrive before the first report of the upstream, so that nothing is announced later than before.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -169,7 +169,13 @@
   }
   mQuarantine.SetPeers(Now(), std::move(peers));
   InstallClaimMap(aView->Tables().mClaimMap);
+  bool const hasFirstTables =
+    aView->HasRoutes() && !mPolicy.View()->HasRoutes();
   mPolicy.SetView(Now(), std::move(aView));
+  if (hasFirstTables) {
+    // Announcing publishes another view, so this one has to be complete.
+    asio::post(mContext, [this] { Announce(); });
+  }
 }
 
 void
@@ -408,7 +414,14 @@
   auto const slots = mAppliedUpstreamStatus.mSlots == 0
                        ? std::optional<std::uint32_t>{}
                        : mAppliedUpstreamStatus.mSlots;
-  mControl.SetOwnState(ToLifecycle(mLifecycle->State()), slots);
+  auto state = ToLifecycle(mLifecycle->State());
+  // Without tables, the daemon cannot tell whether a call is for its service
+  // and refuses it.
+  bool const refusesCalls = !mPolicy.View()->HasRoutes();
+  if (state == membership::lifecycle_state::kServing && refusesCalls) {
+    state = membership::lifecycle_state::kStarting;
+  }
+  mControl.SetOwnState(state, slots);
 }
 
 task<void>
--- a/Tests/Daemon/TestMisdirectedCalls.cpp
+++ b/Tests/Daemon/TestMisdirectedCalls.cpp
@@ -3,6 +3,7 @@
 #include "LibWire/Frame.h"
 
 #include <array>
+#include <csignal>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -123,4 +124,29 @@
   BOOST_TEST(std::holds_alternative<call_response_head>(*frame));
 }
 
+// Guards against calls that are sent to a daemon which has no tables yet and
+// refuses them: it announced that it serves as soon as its upstream was ready.
+BOOST_AUTO_TEST_CASE(DaemonWithoutTablesIsNotAnnouncedAsServing)
+{
+  mesh running;
+  for (auto const* const instance : { "order", "spare", "stock" }) {
+    running.Daemon(instance).Signal(SIGKILL);
+    BOOST_REQUIRE(running.Daemon(instance).WaitForExit());
+  }
+  auto const outputOfFirstRun = running.Daemon("stock").Output().size();
+  running.RestartDaemon("stock");
+  BOOST_REQUIRE(WaitUntil([&] {
+    return running.Daemon("stock").Output().find(
+             "to=serving", outputOfFirstRun) != std::string::npos;
+  }));
+  auto const members =
+    Send(running.Admin("stock"), { { "GET", "/v1/members", {} }, "" });
+  BOOST_REQUIRE(members);
+  BOOST_TEST(
+    members->mBody.find("\"service\":\"stock\",\"state\":\"starting\"") !=
+    std::string::npos);
+  running.RestartDaemon("order");
+  BOOST_TEST(running.WaitForStock());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
