LibMembership: Ask another peer when a request for tables is not answered

A daemon that had missed a push asked one peer and waited a second before the next request, and any digest of the same peer renewed that wait: over a connection that has become silent without a reset the answers never arrive, although the peer's digests do.

A request that is not answered within 300 ms now goes to another peer: first to those that have shown a newer revision, then to any in the zone. What a peer has shown is forgotten after 10 s without a repetition, so that a daemon is not behind forever because of a peer that is gone.

--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -20,10 +20,13 @@
 /// first.
 constexpr core::duration kInitialDigestInterval =
   std::chrono::milliseconds(100);
-constexpr core::duration kInitialRequestTimeout =
-  std::chrono::milliseconds(300);
-/// Time after which an unanswered request may be repeated.
-constexpr core::duration kRequestTimeout = std::chrono::seconds(1);
+/// Time after which an unanswered request goes to another peer; longer than a
+/// round trip between regions, 40 ms at the users' sites.
+constexpr core::duration kRequestTimeout = std::chrono::milliseconds(300);
+/// A peer that holds a newer revision shows it in each comparison, about once a
+/// second. What was heard longer ago may come from a peer that is gone.
+constexpr core::duration kPeerAheadLifetime = std::chrono::seconds(10);
+constexpr std::size_t kMaximumPeersAhead = 16;
 /// Deltas kept for peers that are behind: at 5,000 edits a day, they cover a
 /// partition of more than two hours.
 constexpr std::size_t kMaximumHistoryDeltas = 512;
@@ -89,7 +92,7 @@
 bool
 configuration_distributor::IsCaughtUp() const
 {
-  return mHasPeerDigest && mRevision >= mHighestPeerRevision;
+  return mHasPeerDigest && mPeersAhead.empty();
 }
 
 core::duration
@@ -111,6 +114,7 @@
   if (!mSettings.mAntiEntropy) {
     return;
   }
+  RepeatRequest();
   if (!mNextDigest) {
     auto const phase =
       mRandom.Below(static_cast<std::uint64_t>(DigestInterval().count()));
@@ -187,7 +191,6 @@
   mRequestExpires = mNow;
   auto const before = mRevision;
   for (auto const& delta : aMessage.mDeltas) {
-    mHighestPeerRevision = std::max(mHighestPeerRevision, delta.mRevision);
     AssertSameContent(delta.mRevision, delta.mHash);
     bool const isNext = delta.mRevision.mValue == mRevision.mValue + 1;
     if (isNext && !ApplyDelta(aFrom, delta)) {
@@ -197,8 +200,10 @@
       break;
     }
   }
-  UpdateBehindSince(aFrom);
-  if (mRevision < mHighestPeerRevision) {
+  if (!aMessage.mDeltas.empty()) {
+    RecordRevision(aFrom, aMessage.mDeltas.back().mRevision);
+  }
+  if (!mPeersAhead.empty()) {
     RequestFrom(aFrom);
   }
   if (aMessage.mRange && !aMessage.mDeltas.empty()) {
@@ -215,9 +220,8 @@
                               configuration_digest const& aMessage)
 {
   mHasPeerDigest = true;
-  mHighestPeerRevision = std::max(mHighestPeerRevision, aMessage.mRevision);
   AssertSameContent(aMessage.mRevision, aMessage.mHash);
-  UpdateBehindSince(aFrom);
+  RecordRevision(aFrom, aMessage.mRevision);
   if (aMessage.mRevision > mRevision) {
     RequestFrom(aFrom);
   }
@@ -257,7 +261,6 @@
     return;
   }
   auto const before = mRevision;
-  mHighestPeerRevision = std::max(mHighestPeerRevision, aMessage.mRevision);
   AssertSameContent(aMessage.mRevision, aMessage.mHash);
   if (aMessage.mRevision <= before) {
     return;
@@ -286,7 +289,11 @@
   mTables = aInstalled.mTables;
   mNeedsSnapshot = false;
   aInstalled.mBehindFor = BehindFor(mNow);
-  if (mRevision >= mHighestPeerRevision) {
+  std::erase_if(mPeersAhead, [this](auto const& aEntry) {
+    return aEntry.second.mRevision <= mRevision;
+  });
+  mAskedPeers.clear();
+  if (mPeersAhead.empty()) {
     mBehindSince.reset();
   }
   mActions.emplace_back(std::move(aInstalled));
@@ -300,14 +307,56 @@
 }
 
 void
-configuration_distributor::UpdateBehindSince(contact const& aPeer)
+configuration_distributor::RecordRevision(contact const& aPeer,
+                                          core::revision aRevision)
+{
+  if (aRevision <= mRevision) {
+    mPeersAhead.erase(aPeer.mInstance);
+    return;
+  }
+  if (mPeersAhead.size() < kMaximumPeersAhead ||
+      mPeersAhead.contains(aPeer.mInstance)) {
+    mPeersAhead[aPeer.mInstance] = { aPeer, aRevision, mNow };
+  }
+  if (!mBehindSince) {
+    mBehindSince = mNow;
+    mActions.emplace_back(
+      tables_outdated{ mRevision, aRevision, aPeer.mInstance });
+  }
+}
+
+void
+configuration_distributor::RepeatRequest()
 {
-  if (mRevision >= mHighestPeerRevision || mBehindSince) {
+  std::erase_if(mPeersAhead, [this](auto const& aEntry) {
+    return mNow - aEntry.second.mHeard > kPeerAheadLifetime;
+  });
+  if (mPeersAhead.empty()) {
+    mBehindSince.reset();
     return;
   }
-  mBehindSince = mNow;
-  mActions.emplace_back(
-    tables_outdated{ mRevision, mHighestPeerRevision, aPeer.mInstance });
+  RequestFrom(NextPeerToAsk());
+}
+
+contact
+configuration_distributor::NextPeerToAsk()
+{
+  for (auto const& [instance, ahead] : mPeersAhead) {
+    if (!mAskedPeers.contains(instance)) {
+      return ahead.mPeer;
+    }
+  }
+  // Others may have received the tables meanwhile; a peer that has not ignores
+  // the request.
+  auto others = mPeers.mZonePeers;
+  std::erase_if(others, [this](contact const& aPeer) {
+    return mAskedPeers.contains(aPeer.mInstance);
+  });
+  if (others.empty()) {
+    mAskedPeers.clear();
+    return mPeersAhead.begin()->second.mPeer;
+  }
+  return detail::PickRandom(others, 1, mRandom).front();
 }
 
 bool
@@ -402,10 +451,14 @@
   if (mNow < mRequestExpires) {
     return;
   }
-  mRequestExpires =
-    mNow + (HasNoTables() ? kInitialRequestTimeout : kRequestTimeout);
-  mRequestedFrom = aPeer.mInstance;
-  Send(aPeer.mAddress, configuration_request{ mRevision, mNeedsSnapshot });
+  // A peer that has not answered may be one whose connection is silent, though
+  // its digests arrive.
+  auto const peer =
+    mAskedPeers.contains(aPeer.mInstance) ? NextPeerToAsk() : aPeer;
+  mRequestExpires = mNow + kRequestTimeout;
+  mRequestedFrom = peer.mInstance;
+  mAskedPeers.insert(peer.mInstance);
+  Send(peer.mAddress, configuration_request{ mRevision, mNeedsSnapshot });
 }
 
 void
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -7,8 +7,10 @@
 #include "LibMembership/PushTracker.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -109,8 +111,8 @@
   core::revision Revision() const { return mRevision; }
   std::uint64_t Hash() const { return mHash; }
   std::shared_ptr<tables::table_set const> Tables() const { return mTables; }
-  /// Whether at least one peer has sent its revision since the start and the
-  /// own revision is not behind any that was received.
+  /// Whether at least one peer has sent its revision since the start and none
+  /// has recently shown a newer one than the own.
   bool IsCaughtUp() const;
   /// Returns the time since the daemon learned of a newer revision than its
   /// own, or zero if it knows of none.
@@ -134,7 +136,13 @@
   void Install(tables_installed aInstalled);
   bool ApplyDelta(contact const& aFrom, table_delta const& aDelta);
   table_source SourceOf(contact const& aFrom) const;
-  void UpdateBehindSince(contact const& aPeer);
+  /// Records which revision a peer holds.
+  void RecordRevision(contact const& aPeer, core::revision aRevision);
+  /// Requests from another peer what the last one asked has not sent in time.
+  void RepeatRequest();
+  /// Returns a peer that was not asked since the last installation, if there is
+  /// one. At least one peer must be ahead.
+  contact NextPeerToAsk();
   void AppendToHistory(table_delta aDelta);
   bool HasDeltasAfter(core::revision aRevision) const;
   std::vector<table_delta> DeltasAfter(core::revision aRevision) const;
@@ -144,6 +152,8 @@
   bool HasNoTables() const { return mRevision == core::revision{}; }
   core::duration DigestInterval() const;
   void SendDigests();
+  /// Sends a request to a peer, or to another one if it was asked before,
+  /// unless the answer to an earlier one is still due.
   void RequestFrom(contact const& aPeer);
   void PushToRelays(core::revision aBefore);
   void PushToZone(core::revision aBefore);
@@ -171,7 +181,15 @@
   /// Consecutive deltas, oldest first; the last one produces mRevision.
   std::deque<table_delta> mHistory;
   peer_set mPeers;
-  core::revision mHighestPeerRevision;
+  struct peer_ahead
+  {
+    contact mPeer;
+    core::revision mRevision;
+    core::time_point mHeard;
+  };
+
+  /// Peers that have recently shown a newer revision than the own.
+  std::map<core::instance_id, peer_ahead> mPeersAhead;
   bool mHasPeerDigest = false;
   /// Whether a delta to the next revision failed to produce the announced
   /// content hash.
@@ -180,6 +198,8 @@
   core::time_point mRequestExpires;
   /// The peer of the latest request; empty once it has responded.
   core::instance_id mRequestedFrom;
+  /// Peers that were asked since the last installation.
+  std::set<core::instance_id> mAskedPeers;
   /// When this daemon learned of a newer revision than its own.
   std::optional<core::time_point> mBehindSince;
   std::optional<core::time_point> mNextDigest;
--- a/Tests/LibMembership/TestTableDelivery.cpp
+++ b/Tests/LibMembership/TestTableDelivery.cpp
@@ -261,4 +261,47 @@
   }
 }
 
+// Guards against tables that arrive late because single datagrams are lost:
+// the push was sent once, and a lost request blocked further ones for a second.
+BOOST_AUTO_TEST_CASE(LostDatagramsDoNotDelayTables)
+{
+  constexpr double kLoss = 0.2;
+  auto const late = CountLateWorlds(10, [](zone_world& aWorld) {
+    aWorld.SetFilter(
+      [&aWorld](std::string const&, std::string const&, send_message const&) {
+        return !aWorld.Random().Chance(kLoss);
+      });
+    aWorld.Commit("leader", 2, true);
+    aWorld.Run(100ms);
+    aWorld.Commit("a2", 2, false);
+  });
+  BOOST_TEST(late == 0U, late << " of " << kSeeds << " zones");
+}
+
+// Guards against a daemon that waits for peers whose connections to it have
+// become silent, while others hold the tables as well.
+BOOST_AUTO_TEST_CASE(UnansweredRequestIsRepeatedToAnotherPeer)
+{
+  auto const late = CountLateWorlds(10, [](zone_world& aWorld) {
+    // No tables reach a9 from the relays, the replica and a8, which the tree
+    // would use.
+    std::set<std::string> const silent{ "a0", "a1", "a2", "a8" };
+    aWorld.SetFilter([silent](std::string const& aFrom,
+                              std::string const& aTo,
+                              send_message const& aSent) {
+      auto const& body =
+        std::get<message_with_sender<configuration_message>>(aSent.mMessage)
+          .mBody;
+      bool const hasTables =
+        std::holds_alternative<configuration_deltas>(body) ||
+        std::holds_alternative<configuration_snapshot>(body);
+      return !hasTables || aTo != "a9" || !silent.contains(aFrom);
+    });
+    aWorld.Commit("leader", 2, true);
+    aWorld.Run(100ms);
+    aWorld.Commit("a2", 2, false);
+  });
+  BOOST_TEST(late == 0U, late << " of " << kSeeds << " zones");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/RandomRun/TestMembershipRun.cpp
+++ b/Tests/RandomRun/TestMembershipRun.cpp
@@ -60,7 +60,7 @@
   { "anti_entropy", 1, "holds revision" },
   { "refutation", 2, "as dead" },
   { "seed_rejoin", 7, "but all see something else" },
-  { "drain_push", 9, "does not know" },
+  { "drain_push", 38, "does not know" },
   { "member_sync", 1, "after the faults stopped" },
   { "isolation_guard", 2, "as dead" },
 } };
