LibMembership: Refuse implausible incarnations and revisions

One odd number in what daemons share stays for good. The highest incarnation of the type, reported as dead, made the refutation wrap to zero, which nobody accepts; for another instance no later announcement could replace it. In a digest it led to a request each second.

Incarnations and revisions of 2^48 and more are now ignored and logged (event=member_update_refused, event=revision_refused).

--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -257,9 +257,14 @@
     if (auto const* const send =
           std::get_if<membership::send_message>(&action)) {
       Send(*send);
-      continue;
+    } else if (auto const* const refused =
+                 std::get_if<membership::update_refused>(&action)) {
+      core::LogWarning("member_update_refused")
+        .Field("member", refused->mInstance.mValue)
+        .Field("incarnation", std::to_string(refused->mIncarnation.mValue));
+    } else {
+      OnMembersChanged();
     }
-    OnMembersChanged();
   }
 }
 
@@ -352,6 +357,13 @@
         .Field("peer", outdated->mPeer.mValue);
       continue;
     }
+    if (auto const* const refused =
+          std::get_if<membership::revision_refused>(&action)) {
+      core::LogWarning("revision_refused")
+        .Field("peer", refused->mPeer.mValue)
+        .Field("revision", std::to_string(refused->mRevision.mValue));
+      continue;
+    }
     auto const& installed = std::get<membership::tables_installed>(action);
     core::LogInfo("tables_installed")
       .Field("revision", static_cast<std::int64_t>(installed.mRevision.mValue))
--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -41,6 +41,27 @@
   return { {}, { "\xff" }, aReversed };
 }
 
+core::revision
+HighestRevision(configuration_message const& aMessage)
+{
+  auto const* const deltas = std::get_if<configuration_deltas>(&aMessage);
+  if (deltas == nullptr) {
+    return std::visit(
+      [](auto const& aTyped) -> core::revision {
+        if constexpr (requires { aTyped.mRevision; }) {
+          return aTyped.mRevision;
+        }
+        return {};
+      },
+      aMessage);
+  }
+  core::revision highest;
+  for (auto const& delta : deltas->mDeltas) {
+    highest = std::max(highest, delta.mRevision);
+  }
+  return highest;
+}
+
 void
 SetRange(configuration_message& aMessage,
          std::optional<tree_range> const& aRange)
@@ -133,6 +154,11 @@
   if (from.mInstance == mSettings.mOwn.mInstance) {
     return;
   }
+  auto const revision = HighestRevision(aEvent.mMessage.mBody);
+  if (revision > kMaximumRevision) {
+    mActions.emplace_back(revision_refused{ from.mInstance, revision });
+    return;
+  }
   std::visit([&](auto const& aMessage) { On(from, aMessage); },
              aEvent.mMessage.mBody);
 }
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -93,8 +93,15 @@
   core::instance_id mPeer;
 };
 
-using distributor_action =
-  std::variant<send_message, tables_installed, tables_outdated>;
+/// A peer has sent a revision above kMaximumRevision.
+struct revision_refused
+{
+  core::instance_id mPeer;
+  core::revision mRevision;
+};
+
+using distributor_action = std::
+  variant<send_message, tables_installed, tables_outdated, revision_refused>;
 
 /// Handles the configuration messages of one daemon: push along the tree and
 /// anti-entropy. The active revision never decreases.
--- a/Libraries/LibMembership/DirectoryMessages.cpp
+++ b/Libraries/LibMembership/DirectoryMessages.cpp
@@ -136,6 +136,9 @@
 directory_state::On(contact const& aFrom, entry_exchange const& aMessage)
 {
   for (auto const& removed : aMessage.mRemovals) {
+    if (!CheckIncarnation(removed.mInstance, removed.mIncarnation)) {
+      continue;
+    }
     if (removed.mInstance == mOwn.mInstance) {
       if (removed.mIncarnation >= mOwn.mIncarnation) {
         RefuteUpdateAboutSelf({ { .mInstance = mOwn.mInstance,
@@ -167,6 +170,9 @@
       std::any_of(relays.begin(), relays.end(), [&](contact const& aRelay) {
         return aRelay.mInstance == report.mReporter;
       });
+    if (!CheckIncarnation(report.mReporter, report.mIncarnation)) {
+      continue;
+    }
     if (isRelay && report.mReporter != mOwn.mInstance &&
         mZoneWatch.MergeReport(report)) {
       mReportsChanged = true;
--- a/Libraries/LibMembership/DirectoryState.cpp
+++ b/Libraries/LibMembership/DirectoryState.cpp
@@ -280,6 +280,9 @@
 directory_state::Merge(member_update const& aUpdate, propagation aPropagation)
 {
   auto const& instance = aUpdate.mAnnouncement.mInstance;
+  if (!CheckIncarnation(instance, aUpdate.mAnnouncement.mIncarnation)) {
+    return false;
+  }
   if (instance == mOwn.mInstance) {
     RefuteUpdateAboutSelf(aUpdate);
     return false;
@@ -304,6 +307,17 @@
   return true;
 }
 
+bool
+directory_state::CheckIncarnation(core::instance_id const& aInstance,
+                                  core::incarnation aIncarnation)
+{
+  if (aIncarnation <= kMaximumIncarnation) {
+    return true;
+  }
+  mOutbox.Refuse(aInstance, aIncarnation);
+  return false;
+}
+
 std::size_t
 directory_state::MergeAll(std::vector<member_update> const& aUpdates,
                           propagation aPropagation)
--- a/Libraries/LibMembership/DirectoryState.h
+++ b/Libraries/LibMembership/DirectoryState.h
@@ -90,6 +90,10 @@
   bool Merge(member_update const& aUpdate, propagation aPropagation);
   std::size_t MergeAll(std::vector<member_update> const& aUpdates,
                        propagation aPropagation);
+  /// Reports an incarnation above kMaximumIncarnation. Returns whether it is
+  /// acceptable.
+  bool CheckIncarnation(core::instance_id const& aInstance,
+                        core::incarnation aIncarnation);
   void MergeReports(std::vector<zone_report> const& aReports);
   void RefuteUpdateAboutSelf(member_update const& aUpdate);
   void PublishOwnAnnouncement(core::incarnation aIncarnation, bool aPush);
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -86,6 +86,11 @@
   bool operator==(member const&) const = default;
 };
 
+/// Highest incarnation that is accepted, in milliseconds since 1970: the year
+/// 10889. No later announcement of the instance could replace one with the
+/// highest value of the type.
+inline constexpr core::incarnation kMaximumIncarnation{ (1ULL << 48U) - 1 };
+
 /// The id of a member and the address at which its daemon receives messages.
 struct contact
 {
--- a/Libraries/LibMembership/MemberDirectory.h
+++ b/Libraries/LibMembership/MemberDirectory.h
@@ -82,7 +82,16 @@
   bool operator==(members_changed const&) const = default;
 };
 
-using directory_action = std::variant<send_message, members_changed>;
+/// A peer has sent an incarnation above kMaximumIncarnation.
+struct update_refused
+{
+  core::instance_id mInstance;
+  core::incarnation mIncarnation;
+  bool operator==(update_refused const&) const = default;
+};
+
+using directory_action =
+  std::variant<send_message, members_changed, update_refused>;
 
 inline constexpr core::duration kTickInterval = std::chrono::milliseconds(100);
 
--- a/Libraries/LibMembership/Messages.h
+++ b/Libraries/LibMembership/Messages.h
@@ -148,6 +148,10 @@
   bool operator==(entry_exchange const&) const = default;
 };
 
+/// Highest revision that is accepted: 150 million years of 5,000 edits a day.
+/// No later tables could replace those with the highest value of the type.
+inline constexpr core::revision kMaximumRevision{ (1ULL << 48U) - 1 };
+
 /// The changes from one revision of the tables to the next.
 struct table_delta
 {
--- a/Libraries/LibMembership/Outbox.h
+++ b/Libraries/LibMembership/Outbox.h
@@ -23,6 +23,12 @@
       aTo, message_with_sender<member_message>{ mOwn, std::move(aMessage) }));
   }
 
+  void Refuse(core::instance_id const& aInstance,
+              core::incarnation aIncarnation)
+  {
+    mActions.emplace_back(update_refused{ aInstance, aIncarnation });
+  }
+
   void MarkMembersChanged() { mChanged = true; }
 
   std::vector<directory_action> TakeActions()
--- a/Tests/LibMembership/TestConfigurationDistributor.cpp
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -1,6 +1,8 @@
 #include "LibMembership/ConfigurationDistributor.h"
 #include "LibTables/TableRules.h"
 
+#include <limits>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace cranberryfold;
@@ -230,4 +232,41 @@
   BOOST_TEST(distributor.Revision().mValue == 1U);
 }
 
+// Guards against one odd revision, after which a daemon requests tables forever
+// or installs tables that no later ones can replace.
+BOOST_AUTO_TEST_CASE(ImplausibleRevisionIsRefused)
+{
+  constexpr auto kHighest = std::numeric_limits<std::uint64_t>::max();
+  auto distributor = Distributor();
+  distributor.Handle(kStart, From("x", Snapshot(5)));
+  auto odd = Snapshot(6);
+  odd.mRevision = { kHighest };
+  auto const actions = distributor.Handle(
+    kStart, From("x", configuration_digest{ odd.mRevision, odd.mHash, false }));
+  BOOST_TEST(!FirstSent<configuration_request>(actions).has_value());
+  BOOST_TEST(std::get<revision_refused>(actions.front()).mPeer.mValue == "x");
+  distributor.Handle(kStart, From("x", odd));
+  distributor.Handle(
+    kStart,
+    From("x", configuration_deltas{ { { odd.mRevision, 0, {} } }, {} }));
+  BOOST_TEST(distributor.Revision().mValue == 5U);
+  BOOST_TEST((distributor.BehindFor(kStart + 1s) == core::duration{}));
+}
+
+// Guards against a daemon that counts as behind forever, and requests tables
+// forever, because a peer that is gone has shown a revision that no other has.
+BOOST_AUTO_TEST_CASE(RevisionThatNoPeerRepeatsIsForgotten)
+{
+  auto distributor = Distributor();
+  distributor.Handle(kStart, From("x", Snapshot(5)));
+  auto const digest = Snapshot(6);
+  distributor.Handle(
+    kStart,
+    From("x", configuration_digest{ digest.mRevision, digest.mHash, false }));
+  BOOST_TEST(!distributor.IsCaughtUp());
+  distributor.Handle(kStart + 20s, tick{});
+  BOOST_TEST(distributor.IsCaughtUp());
+  BOOST_TEST((distributor.BehindFor(kStart + 20s) == core::duration{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibMembership/TestMemberDirectory.cpp
+++ b/Tests/LibMembership/TestMemberDirectory.cpp
@@ -1,5 +1,7 @@
 #include "LibMembership/MemberDirectory.h"
 
+#include <limits>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace cranberryfold;
@@ -267,4 +269,29 @@
   BOOST_TEST(Sent<ping_ack>(actions).empty());
 }
 
+// Guards against one odd number in a member list: the refutation of the highest
+// incarnation wrapped to zero, which nobody accepts, and no announcement could
+// replace it for another instance.
+BOOST_AUTO_TEST_CASE(ImplausibleIncarnationIsRefused)
+{
+  constexpr auto kHighest = std::numeric_limits<std::uint64_t>::max();
+  member_directory directory(Settings("self"), core::random_source(1));
+  auto const actions = directory.Handle(
+    kStart, From("x", Batch(Announce("self", kHighest), member_state::kDead)));
+  BOOST_TEST(directory.OwnAnnouncement().mIncarnation.mValue == 1U);
+  BOOST_TEST((std::get<update_refused>(actions.front()) ==
+              update_refused{ { "self" }, { kHighest } }));
+  directory.Handle(
+    kStart, From("x", Batch(Announce("y", kHighest), member_state::kDead)));
+  directory.Handle(
+    kStart,
+    From("x", entry_exchange{ {}, {}, { { { "self" }, { kHighest } } } }));
+  BOOST_TEST(directory.OwnAnnouncement().mIncarnation.mValue == 1U);
+  directory.Handle(kStart,
+                   From("x", Batch(Announce("y", 5), member_state::kAlive)));
+  auto const members = directory.Members();
+  BOOST_REQUIRE(members.size() == 2U);
+  BOOST_TEST((members.back().mState == member_state::kAlive));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/RandomRun/Fleet.cpp
+++ b/Utilities/RandomRun/Fleet.cpp
@@ -195,7 +195,7 @@
     if (auto const* const send =
           std::get_if<membership::send_message>(&action)) {
       Send(aNode, *send);
-    } else {
+    } else if (std::holds_alternative<membership::members_changed>(action)) {
       membership::peers_changed event;
       Measured(aNode,
                [&] { event.mPeers = mNodes[aNode].mDirectory->Peers(); });
