LibDaemon: Take a refusal for proof only if it belongs to the call

The daemon took a refusal without a request id for the response to the present call: callers were told that a call had not run which the upstream was running, and the call could be sent to a second upstream. With the default dialect this held for each refusal on a kept connection, since that dialect read no id in responses; a platform's dialect that reads ids already skipped refusals with the id of another call.

A refusal is a proof now if it repeats the id of the call or if the call is the first one on its connection; otherwise the outcome is unknown. The default dialect reads x-cranberryfold-request-id in responses, so that responses to other calls are skipped, and the stand-in upstream repeats the id. A refusal that proves nothing still counts as a refusal for the choice of upstreams, not as a lost one.

Daemon/UpstreamResponses/StrayRefusalWithoutIdIsNoProof and RefusalOfAnEarlierCallIsSkipped fail without this change (the caller of a non-idempotent call is told not_run) and pass now. The other tests of the suite passed before and guard the neighbouring cases: refusals that are proof, surplus bytes, an early refusal, and heads, refusals, chunked trailers and reset responses without a length that are cut after each byte, for idempotent and non-idempotent calls. None of these cuts looks whole or not run to the caller.

LibTraffic/UpstreamSelection/RefusalWithoutProofIsNoLoss fails with the former UpstreamHealth.cpp and passes now.

--- a/Libraries/LibDaemon/HttpDialect.cpp
+++ b/Libraries/LibDaemon/HttpDialect.cpp
@@ -57,6 +57,7 @@
 ReadResponse(unsigned aStatus, http_fields const& aFields)
 {
   upstream_response_metadata metadata;
+  metadata.mRequest = { std::string(FieldValue(aFields, header::kRequestId)) };
   metadata.mIsNotRun =
     aStatus == kUnavailable &&
     FieldValue(aFields, header::kOutcome) == OutcomeName(outcome::kNotRun);
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -380,9 +380,14 @@
                               {} };
     }
     if (metadata.mIsNotRun) {
+      // A refusal that may belong to an earlier call on the connection does not
+      // prove that this one was not run.
+      bool const isOfThisCall =
+        !metadata.mRequest.IsEmpty() || !aConnection.mHasCarriedCalls;
       // The body of the response stays unread, so the connection cannot be
       // reused.
-      co_return call_refusal{ outcome::kNotRun,
+      co_return call_refusal{ isOfThisCall ? outcome::kNotRun
+                                           : outcome::kUnknown,
                               refusal_reason::kUpstreamRefused,
                               {} };
     }
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -90,6 +90,7 @@
                        aConnection->mBuffer.size() == 0 &&
                        keepAlive > kKeepAliveMargin;
   if (canKeep) {
+    aConnection->mHasCarriedCalls = true;
     aConnection->mStream.expires_never();
     mIdleConnections.push_back(
       { std::move(aConnection), now, now + keepAlive - kKeepAliveMargin });
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -22,6 +22,8 @@
 {
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer{ kMaximumReadAheadBytes };
+  /// Bytes that belong to an earlier call may still arrive on it.
+  bool mHasCarriedCalls = false;
 };
 
 /// Idle connections of one thread to the local upstream. They are reused since
--- a/Libraries/LibTraffic/UpstreamHealth.cpp
+++ b/Libraries/LibTraffic/UpstreamHealth.cpp
@@ -42,9 +42,14 @@
 /// it is.
 constexpr core::duration kNotReadyAvoidance{ 200'000 };
 
+/// An upstream that refuses is reachable, whether or not the refusal proves
+/// that the call was not run.
 bool
 IsFailure(attempt_report const& aReport)
 {
+  if (aReport.mReason == refusal_reason::kUpstreamRefused) {
+    return false;
+  }
   return aReport.mOutcome == outcome::kUnknown ||
          aReport.mReason == refusal_reason::kConnectFailed;
 }
--- /dev/null
+++ b/Tests/Daemon/TestUpstreamResponses.cpp
@@ -0,0 +1,246 @@
+#include "Daemon/Mesh.h"
+#include "Support/ScriptedServer.h"
+
+#include <csignal>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryfold;
+using namespace cranberryfold::test_support;
+
+namespace {
+
+constexpr auto kOk = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+std::string
+Refusal(std::string const& aHeaders)
+{
+  return "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n"
+         "x-cranberryfold-outcome: not_run\r\n" +
+         aHeaders + "\r\n";
+}
+
+std::string
+RefusalOf(std::string const& aRequestId)
+{
+  return Refusal("x-cranberryfold-request-id: " + aRequestId + "\r\n");
+}
+
+std::string
+IdOf(scripted_request const& aRequest)
+{
+  return aRequest.Header("x-cranberryfold-request-id");
+}
+
+bool
+IsNotRun(core::attempt<http::response> const& aResponse)
+{
+  return aResponse && http::FindHeader(aResponse->mHead.mHeaders,
+                                       "x-cranberryfold-outcome") == "not_run";
+}
+
+/// Returns whether the caller got a response that looks successful and whole.
+bool
+IsSuccess(core::attempt<http::response> const& aResponse)
+{
+  return aResponse && aResponse->mHead.mStatus == 200;
+}
+
+http::request const kRead{ { "GET", "/stock/item", {} }, "" };
+http::request const kDeposit{ { "POST", "/deposits/1", {} }, "" };
+
+/// The mesh with a stock upstream that writes what a test says.
+struct fixture
+{
+  void Start(scripted_server::answer_function aAnswer,
+             bool aAnswersEarly = false)
+  {
+    BOOST_TEST_REQUIRE(mMesh.WaitForStock());
+    mMesh.Upstream("stock").Signal(SIGKILL);
+    BOOST_TEST_REQUIRE(mMesh.Upstream("stock").WaitForExit().has_value());
+    mServer.emplace(
+      mMesh.UpstreamAddress("stock"), std::move(aAnswer), aAnswersEarly);
+    BOOST_TEST_REQUIRE(mMesh.WaitForStock());
+  }
+
+  core::attempt<http::response> SendToStock(http::request const& aRequest) const
+  {
+    return Send(mMesh.Caller("order"), aRequest);
+  }
+
+  /// Sends requests until one has reached the upstream. Returns the response.
+  core::attempt<http::response> SendUntilReceived(http::request const& aRequest)
+  {
+    auto const before = mServer->Requests();
+    core::attempt<http::response> response;
+    BOOST_TEST(WaitUntil([&] {
+      response = SendToStock(aRequest);
+      return mServer->Requests() > before;
+    }));
+    return response;
+  }
+
+  /// Sends requests until the upstream has got one on a connection that was
+  /// used before, which aIsReused tells. Returns the response to it.
+  core::attempt<http::response> SendUntilReused(
+    http::request const& aRequest,
+    std::atomic<bool> const& aIsReused)
+  {
+    core::attempt<http::response> response;
+    BOOST_TEST(WaitUntil([&] {
+      response = SendToStock(aRequest);
+      return aIsReused.load();
+    }));
+    return response;
+  }
+
+  /// Sends a read and a deposit for each beginning of aBytes that lacks at
+  /// least one byte, after which the connection ends. None may look whole.
+  void ExpectNoCutIsWhole(std::string const& aBytes,
+                          connection_end aEnd,
+                          std::size_t aShortest = 0)
+  {
+    std::atomic<bool> isCutting = false;
+    std::atomic<std::size_t> size = aShortest;
+    Start([&](scripted_request const&) {
+      return isCutting ? scripted_answer{ aBytes.substr(0, size), aEnd }
+                       : scripted_answer{ kOk };
+    });
+    // The daemon sends few calls to a new process until one has succeeded.
+    BOOST_TEST(WaitUntil([&] { return IsSuccess(SendToStock(kRead)); }));
+    isCutting = true;
+    for (; size < aBytes.size(); ++size) {
+      for (auto const& request : { kRead, kDeposit }) {
+        auto const response = SendUntilReceived(request);
+        BOOST_TEST(!IsSuccess(response), "whole after " << size << " bytes");
+        BOOST_TEST(!IsNotRun(response), "not run after " << size << " bytes");
+      }
+    }
+  }
+
+  mesh mMesh;
+  std::optional<scripted_server> mServer;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamResponses, fixture)
+
+// Guards against telling a caller that its call was not run because of a
+// refusal without an id that may belong to an earlier call on the connection.
+BOOST_AUTO_TEST_CASE(StrayRefusalWithoutIdIsNoProof)
+{
+  std::atomic<bool> isReused = false;
+  Start([&](scripted_request const& aRequest) {
+    isReused = aRequest.mNumber > 1;
+    return scripted_answer{ isReused ? Refusal("") : kOk };
+  });
+  BOOST_TEST(!IsNotRun(SendUntilReused(kDeposit, isReused)));
+}
+
+// Guards against taking a refusal of an earlier call on the connection for the
+// response to this one.
+BOOST_AUTO_TEST_CASE(RefusalOfAnEarlierCallIsSkipped)
+{
+  std::atomic<bool> isReused = false;
+  std::string earlier;
+  Start([&](scripted_request const& aRequest) {
+    isReused = aRequest.mNumber > 1;
+    auto const stray = isReused ? RefusalOf(earlier) : std::string();
+    earlier = IdOf(aRequest);
+    return scripted_answer{ stray + kOk };
+  });
+  BOOST_TEST(IsSuccess(SendUntilReused(kDeposit, isReused)));
+}
+
+// Guards against hiding that a call was not run when the refusal names it.
+BOOST_AUTO_TEST_CASE(RefusalWithTheIdOfTheCallIsProof)
+{
+  std::atomic<bool> isReused = false;
+  Start([&](scripted_request const& aRequest) {
+    isReused = aRequest.mNumber > 1;
+    return scripted_answer{ isReused ? RefusalOf(IdOf(aRequest)) : kOk };
+  });
+  BOOST_TEST(IsNotRun(SendUntilReused(kDeposit, isReused)));
+}
+
+// Guards against hiding that a call was not run when the refusal can belong to
+// no other call.
+BOOST_AUTO_TEST_CASE(RefusalOnANewConnectionIsProof)
+{
+  Start([](scripted_request const&) {
+    return scripted_answer{ Refusal(""), connection_end::kClose };
+  });
+  BOOST_TEST(IsNotRun(SendUntilReceived(kDeposit)));
+}
+
+// Guards against using a connection again on which more than the response has
+// arrived.
+BOOST_AUTO_TEST_CASE(ConnectionWithSurplusBytesIsNotReused)
+{
+  std::atomic<unsigned> reused = 0;
+  Start([&](scripted_request const& aRequest) {
+    reused += aRequest.mNumber > 1 ? 1 : 0;
+    return scripted_answer{ kOk + Refusal("") };
+  });
+  for (int call = 0; call < 20; ++call) {
+    BOOST_TEST(IsSuccess(SendUntilReceived(kDeposit)));
+  }
+  BOOST_TEST(reused == 0U);
+}
+
+// Guards against a refusal that arrives before the body of the call was sent
+// and leaves the rest of the body to the next call.
+BOOST_AUTO_TEST_CASE(EarlyRefusalEndsTheConnection)
+{
+  constexpr std::size_t kBodyBytes = 300'000;
+  std::atomic<unsigned> reused = 0;
+  Start(
+    [&](scripted_request const& aRequest) {
+      reused += aRequest.mNumber > 1 ? 1 : 0;
+      return scripted_answer{ RefusalOf(IdOf(aRequest)) };
+    },
+    true);
+  auto deposit = kDeposit;
+  deposit.mBody = std::string(kBodyBytes, 'a');
+  for (int call = 0; call < 5; ++call) {
+    BOOST_TEST(IsNotRun(SendUntilReceived(deposit)));
+  }
+  BOOST_TEST(reused == 0U);
+}
+
+// Guards against a success made of a response whose head the upstream did not
+// finish.
+BOOST_AUTO_TEST_CASE(CutHeadIsNoResponse)
+{
+  ExpectNoCutIsWhole("HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 0\r\n\r\n",
+                     connection_end::kClose);
+}
+
+// Guards against a success made of a reset connection, with a response that
+// has no length.
+BOOST_AUTO_TEST_CASE(ResetResponseWithoutLengthIsNotWhole)
+{
+  std::string const whole = "HTTP/1.1 200 OK\r\n\r\nbody";
+  ExpectNoCutIsWhole(whole + "+", connection_end::kReset);
+}
+
+// Guards against a chunked response that looks whole without its trailer.
+BOOST_AUTO_TEST_CASE(CutTrailerIsNotWhole)
+{
+  std::string const head =
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+  ExpectNoCutIsWhole(head + "2\r\nok\r\n0\r\nx-a: b\r\n\r\n",
+                     connection_end::kClose,
+                     head.size());
+}
+
+// Guards against a refusal whose head the upstream did not finish, or an
+// interim response without a final one, that counts as a response.
+BOOST_AUTO_TEST_CASE(CutRefusalIsNoProof)
+{
+  ExpectNoCutIsWhole("HTTP/1.1 103 Early Hints\r\n\r\n" + Refusal(""),
+                     connection_end::kClose);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -368,6 +368,17 @@
   BOOST_TEST(run.Select() == "near");
 }
 
+// Guards against avoiding an upstream as lost because of a refusal that does
+// not prove that the call was not run.
+BOOST_AUTO_TEST_CASE(RefusalWithoutProofIsNoLoss)
+{
+  fixture run;
+  run.Try("near", outcome::kUnknown, refusal_reason::kUpstreamRefused);
+  BOOST_TEST(run.Select() == "middle");
+  run.mNow += std::chrono::milliseconds(100);
+  BOOST_TEST(run.Select() == "near");
+}
+
 // Guards against a report that is not counted because its upstream has left the
 // pool.
 BOOST_AUTO_TEST_CASE(ReportsOfFormerMembersAreTaken)
--- a/Utilities/StandInUpstream/Service.cpp
+++ b/Utilities/StandInUpstream/Service.cpp
@@ -49,6 +49,16 @@
            boost::json::serialize(aValue) + "\n" };
 }
 
+/// Tells the daemon which request the answer belongs to.
+void
+AddRequestId(http::header_list& aHeaders, http::request_head const& aRequest)
+{
+  std::string const id(http::FindHeader(aRequest.mHeaders, kRequestIdHeader));
+  if (!id.empty()) {
+    aHeaders.push_back({ std::string(kRequestIdHeader), id });
+  }
+}
+
 std::uint64_t
 ParseNumber(std::string_view aText, std::uint64_t aDefault)
 {
@@ -356,6 +366,7 @@
   auto const& head = aExchange.Head();
   auto const text = DescribeItem(aItem);
   http::response_head answer{ 200, { { "content-type", "application/json" } } };
+  AddRequestId(answer.mHeaders, head);
   AddCondition(answer.mHeaders);
   auto body = http::BodyOf(text);
   if (aItem.mHasFailedCall) {
@@ -384,6 +395,7 @@
 service::Refuse(http::server_exchange& aExchange, std::string_view aReason)
 {
   auto answer = JsonResponse(kStatusUnavailable, { { "error", aReason } });
+  AddRequestId(answer.mHead.mHeaders, aExchange.Head());
   answer.mHead.mHeaders.push_back({ std::string(kOutcomeHeader), "not_run" });
   answer.mHead.mHeaders.push_back(
     { std::string(kReasonHeader), std::string(aReason) });
