LibMembership: Recover from reports with numbers above the true ones

The tracker compared all later reports with these numbers and ignored them as outdated, and after 6 s without an accepted report it took the upstream for silent.

Outdated reports are now kept, too. A series with increasing sequence numbers that lasts longer than a report may be late, while the order that it is compared with gets no report, replaces that order: its last report was sent after all that the daemon knew when the series began. Late reports are too short a series, and a process that drains goes on to report it. A deregistration with the start time of the process stays final. One with another start time no longer ends the process, unless the process has reported with that start time.

Outdated reports in the name of the present process show that it lives. An outdated report is acknowledged only if the upstream is in use as it says: requests to an upstream are not stopped by an outdated drain, so that it must be reported again; and an upstream that is not in use must not be told that it is. The alternative, to take no notice in the response, leaves an acknowledged drain without effect.

A drain in the name of a sound upstream is honoured, since it cannot be told from a true one, and ends with the next reports of the upstream, 6 to 7.5 s later.

UnusableReportsAreNotAcknowledged passes before and after: numbers that cannot be read and 100,000 nested lists get 400, and no process ends.

--- a/Libraries/LibDaemon/DaemonUpstream.cpp
+++ b/Libraries/LibDaemon/DaemonUpstream.cpp
@@ -31,6 +31,9 @@
                 ? report_outcome::kAccepted
                 : report_outcome::kUnconfirmed;
   }
+  if (outcome == report_outcome::kOutdated && !mUpstream.AgreesWith(aReport)) {
+    outcome = report_outcome::kContradicted;
+  }
   if (outcome != report_outcome::kAccepted) {
     core::LogWarning("upstream_report_ignored")
       .Field("upstream", aReport.mId.mValue)
--- a/Libraries/LibMembership/UpstreamTracker.cpp
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -45,6 +45,8 @@
       return "foreign";
     case report_outcome::kUnconfirmed:
       return "unconfirmed";
+    case report_outcome::kContradicted:
+      return "contradicted";
   }
   return "foreign";
 }
@@ -117,9 +119,14 @@
   if (aReport.mService != mService || aReport.mAddress != mAddress) {
     return report_outcome::kForeign;
   }
-  if (IsOutdated(aReport) || HasDeparted(aReport)) {
+  bool const hasLeft =
+    mStatus.mLifecycle == lifecycle_state::kLeft && IsOfPresentProcess(aReport);
+  if (hasLeft || HasDeparted(aReport)) {
     return report_outcome::kOutdated;
   }
+  if (IsOutdated(aReport)) {
+    return HandleOutdated(aNow, aReport);
+  }
   if (mConfirmation != report_confirmation::kNone &&
       !IsOfPresentProcess(aReport)) {
     return HandlePending(aNow, aReport);
@@ -135,9 +142,14 @@
   // A deregistration contains only the id of the process and, in most cases,
   // its start time.
   bool const isOfPresentId = aReport.mId == mStatus.mId;
-  if (isOfPresentId && IsOutdated(aReport)) {
-    return report_outcome::kOutdated;
-  }
+  bool const hasReported = std::any_of(
+    mPending.begin(), mPending.end(), [&](pending_process const& aPending) {
+      return CanBeSameProcess(aPending.mLatest, aReport);
+    });
+  // A process that restarts under the same id reports before it leaves. Other
+  // start times come from a former process or from another writer.
+  bool const isOfPresentProcess =
+    isOfPresentId && (hasReported || !HasOtherStart(aReport));
   std::erase_if(mPending, [&](pending_process const& aPending) {
     return CanBeSameProcess(aPending.mLatest, aReport);
   });
@@ -148,16 +160,56 @@
     mDepartures.erase(mDepartures.begin());
   }
   mDepartures.push_back({ aReport.mId, start, aNow });
-  if (!isOfPresentId) {
+  if (!isOfPresentProcess) {
     return mStatus.mId.IsEmpty() ? report_outcome::kAccepted
                                  : report_outcome::kOutdated;
   }
+  if (mStatus.mLifecycle == lifecycle_state::kLeft &&
+      IsOfPresentProcess(aReport)) {
+    return report_outcome::kOutdated;
+  }
   auto left = aReport;
   left.mSlots = mStatus.mSlots;
   Install(aNow, left);
   return report_outcome::kAccepted;
 }
 
+report_outcome
+upstream_tracker::HandleOutdated(core::time_point aNow,
+                                 upstream_report const& aReport)
+{
+  // Another writer may have reported a start time or sequence number above the
+  // true ones, so that all true reports seem to be old.
+  auto const& pending = AddPending(aNow, aReport);
+  if (HasContinued(aNow, pending)) {
+    Install(aNow, aReport);
+    return report_outcome::kAccepted;
+  }
+  if (aReport.mId == mStatus.mId) {
+    mLastSign = aNow;
+  }
+  return report_outcome::kOutdated;
+}
+
+bool
+upstream_tracker::HasContinued(core::time_point aNow,
+                               pending_process const& aPending) const
+{
+  // The last report was sent after the first one arrived, so that it is newer
+  // than all that was reported before.
+  bool const isPresentSilent =
+    mStatus.mId.IsEmpty() || aNow - mLastReport >= kMaximumReportDelay;
+  return isPresentSilent && aNow - aPending.mSeriesStart >= kMaximumReportDelay;
+}
+
+bool
+upstream_tracker::AgreesWith(upstream_report const& aReport) const
+{
+  bool const isInUse = aReport.mId == mStatus.mId &&
+                       mStatus.mLifecycle == lifecycle_state::kServing;
+  return isInUse == (aReport.mLifecycle == lifecycle_state::kServing);
+}
+
 upstream_tracker::pending_process&
 upstream_tracker::AddPending(core::time_point aNow,
                              upstream_report const& aReport)
@@ -190,7 +242,8 @@
   for (auto const& pending : mPending) {
     bool const isLater =
       found == nullptr || pending.mLastReport >= found->mLastReport;
-    if (pending.mLatest.mId == aId && isLater) {
+    bool const isCurrent = aId != mStatus.mId || !IsOutdated(pending.mLatest);
+    if (pending.mLatest.mId == aId && isLater && isCurrent) {
       found = &pending;
     }
   }
@@ -203,12 +256,7 @@
 {
   auto& pending = AddPending(aNow, aReport);
   pending.mHasDrained |= aReport.mLifecycle == lifecycle_state::kDraining;
-  // The last report was sent after the first one arrived, so that it is newer
-  // than anything that the upstream reported to a former process of the daemon.
-  bool const isContinuing = aNow - pending.mSeriesStart >= kMaximumReportDelay;
-  bool const isPresentSilent =
-    mStatus.mId.IsEmpty() || aNow - mLastReport >= kMaximumReportDelay;
-  if (isContinuing && isPresentSilent) {
+  if (HasContinued(aNow, pending)) {
     Install(aNow, aReport);
     return report_outcome::kAccepted;
   }
@@ -275,9 +323,12 @@
   mStatus = {
     aReport.mId, aReport.mSlots, aReport.mLifecycle, aReport.mColdStartRemaining
   };
-  mStartMilliseconds = std::max(mStartMilliseconds, aReport.mStartMilliseconds);
+  if (aReport.mStartMilliseconds != 0) {
+    mStartMilliseconds = aReport.mStartMilliseconds;
+  }
   mSequence = aReport.mSequence;
   mLastReport = aNow;
+  mLastSign = aNow;
   std::erase_if(mPending, [&](pending_process const& aPending) {
     return CanBeSameProcess(aPending.mLatest, aReport);
   });
@@ -313,7 +364,7 @@
 upstream_tracker::CheckReportTimeout(core::time_point aNow)
 {
   bool const hasTimedOut = mStatus.mLifecycle == lifecycle_state::kServing &&
-                           aNow - mLastReport >= kReportTimeout;
+                           aNow - mLastSign >= kReportTimeout;
   if (hasTimedOut) {
     mStatus.mLifecycle = lifecycle_state::kStarting;
   }
--- a/Libraries/LibMembership/UpstreamTracker.h
+++ b/Libraries/LibMembership/UpstreamTracker.h
@@ -62,7 +62,8 @@
 enum class report_outcome : std::uint8_t
 {
   kAccepted,
-  /// From a former process, or older than the last accepted report; ignored.
+  /// From a former process, or older than the last accepted report. The status
+  /// does not follow it unless such reports continue while no others arrive.
   kOutdated,
   /// For a service or address other than that of the daemon's upstream;
   /// ignored.
@@ -70,6 +71,8 @@
   /// From a process that is not known yet. The status does not follow it until
   /// the process is confirmed.
   kUnconfirmed,
+  /// Outdated, and the upstream is not in use as the report says.
+  kContradicted,
 };
 
 /// Whether a process that is not known yet must be confirmed before its reports
@@ -119,11 +122,16 @@
 
   upstream_status const& Status() const { return mStatus; }
 
+  /// Returns whether the upstream is in use as aReport says: one that serves
+  /// is, one that is leaving is not.
+  bool AgreesWith(upstream_report const& aReport) const;
+
   /// Returns whether aReport is from the process that the status describes.
   bool IsOfPresentProcess(upstream_report const& aReport) const;
 
 private:
-  /// Reports of a process that is not confirmed.
+  /// Reports that the status does not follow: of a process that is not
+  /// confirmed, or older than the last accepted one.
   struct pending_process
   {
     upstream_report mLatest;
@@ -150,9 +158,18 @@
   /// reports has confirmed the process.
   report_outcome HandlePending(core::time_point aNow,
                                upstream_report const& aReport);
+  /// Keeps a report that is older than the status. Returns kAccepted if the
+  /// series that it continues replaces the status.
+  report_outcome HandleOutdated(core::time_point aNow,
+                                upstream_report const& aReport);
+  /// Returns whether the series was sent after everything that the daemon knows
+  /// of, and the process of the status is silent.
+  bool HasContinued(core::time_point aNow,
+                    pending_process const& aPending) const;
   pending_process& AddPending(core::time_point aNow,
                               upstream_report const& aReport);
-  /// Returns the process aId that reported last, or nullptr.
+  /// Returns the process aId that reported last and is not older than the
+  /// present one, or nullptr.
   pending_process const* FindPending(upstream_id const& aId) const;
   /// Removes departures and pending processes of which no report can arrive
   /// anymore.
@@ -170,6 +187,8 @@
   std::uint64_t mStartMilliseconds = 0;
   std::uint64_t mSequence = 0;
   core::time_point mLastReport{};
+  /// Last report in the name of the present process, accepted or not.
+  core::time_point mLastSign{};
   /// The present process has stated in a response that it is leaving.
   bool mIsLeaving = false;
   std::vector<pending_process> mPending;
--- a/Tests/LibMembership/TestUpstreamTracker.cpp
+++ b/Tests/LibMembership/TestUpstreamTracker.cpp
@@ -1,5 +1,7 @@
 #include "LibMembership/UpstreamTracker.h"
 
+#include <limits>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace std::chrono_literals;
@@ -318,3 +320,128 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(OddReports, started_daemon)
+
+namespace {
+
+constexpr auto kHighest = std::numeric_limits<std::uint64_t>::max();
+constexpr auto kInterval = 1500ms;
+
+}
+
+// Guards against one report with numbers above the true ones, after which all
+// reports of the sound upstream are ignored for good.
+BOOST_AUTO_TEST_CASE(HighNumbersDoNotSilenceTheUpstream)
+{
+  for (auto const& odd :
+       { Report("a", 100, kHighest), Report("a", kHighest, 1) }) {
+    started_daemon daemon;
+    daemon.Health("a", true);
+    daemon.Handle(Report("a", 100, 9));
+    daemon.Handle(odd);
+    daemon.Health("a", true);
+    for (std::uint64_t sequence = 10; sequence < 20; ++sequence) {
+      daemon.mNow += kInterval;
+      auto const outcome = daemon.Handle(Report("a", 100, sequence));
+      daemon.mTracker.CheckReportTimeout(daemon.mNow);
+      BOOST_TEST((daemon.State() == lifecycle_state::kServing));
+      if (sequence >= 15) {
+        BOOST_TEST((outcome == report_outcome::kAccepted));
+      }
+    }
+  }
+}
+
+// Guards against a drain in the name of the upstream that lasts for good,
+// because all later reports of the upstream seem to be older.
+BOOST_AUTO_TEST_CASE(ContinuedReportsEndADrainOfAnotherWriter)
+{
+  Health("a", true);
+  Handle(Report("a", 100, 9));
+  Handle(Draining("a", 100, kHighest));
+  BOOST_TEST((State() == lifecycle_state::kDraining));
+  for (std::uint64_t sequence = 10; sequence < 14; ++sequence) {
+    mNow += kInterval;
+    Handle(Report("a", 100, sequence));
+    BOOST_TEST((State() == lifecycle_state::kDraining));
+    BOOST_TEST(!mTracker.AgreesWith(Report("a", 100, sequence)));
+  }
+  mNow += kInterval;
+  Handle(Report("a", 100, 14));
+  mNow += kInterval;
+  Handle(Report("a", 100, 15));
+  BOOST_TEST((State() == lifecycle_state::kServing));
+}
+
+// Guards against late reports that undo a drain while the upstream goes on to
+// report it.
+BOOST_AUTO_TEST_CASE(LateReportsDoNotUndoAContinuedDrain)
+{
+  Health("a", true);
+  Handle(Draining("a", 100, 100));
+  for (std::uint64_t sequence = 1; sequence < 20; ++sequence) {
+    mNow += kInterval;
+    Handle(Draining("a", 100, 100 + sequence));
+    Handle(Report("a", 100, sequence));
+    BOOST_TEST((State() == lifecycle_state::kDraining));
+  }
+}
+
+// Guards against an acknowledged drain of the upstream that has no effect,
+// because another writer has reported a higher number.
+BOOST_AUTO_TEST_CASE(OutdatedDrainOfAServingUpstreamIsNotAgreedTo)
+{
+  Health("a", true);
+  Handle(Report("a", 100, kHighest));
+  BOOST_TEST((Handle(Draining("a", 100, 10)) == report_outcome::kOutdated));
+  BOOST_TEST(!mTracker.AgreesWith(Draining("a", 100, 10)));
+  BOOST_TEST(mTracker.AgreesWith(Report("a", 100, 10)));
+}
+
+// Guards against a deregistration with another start time that ends a sound
+// upstream, and is followed by no accepted report.
+BOOST_AUTO_TEST_CASE(DeregistrationWithAnotherStartDoesNotEndTheProcess)
+{
+  Health("a", true);
+  Handle(Report("a", 100, 9));
+  auto odd = Deregistration("a");
+  for (auto const start : { std::uint64_t{ 50 }, kHighest }) {
+    odd.mStartMilliseconds = start;
+    BOOST_TEST((Handle(odd) == report_outcome::kOutdated));
+    BOOST_TEST(!mTracker.AgreesWith(odd));
+    BOOST_TEST((State() == lifecycle_state::kServing));
+  }
+  BOOST_TEST((Handle(Report("a", 100, 10)) == report_outcome::kAccepted));
+}
+
+// Guards against requests to a process that has deregistered while another
+// writer had reported a later start.
+BOOST_AUTO_TEST_CASE(DeregistrationOfTheTrueProcessCounts)
+{
+  Health("a", true);
+  Handle(Report("a", 100, 9));
+  Handle(Report("a", kHighest, 1));
+  Health("a", true);
+  Handle(Report("a", 100, 10));
+  auto deregistration = Deregistration("a");
+  deregistration.mStartMilliseconds = 100;
+  BOOST_TEST((Handle(deregistration) == report_outcome::kAccepted));
+  BOOST_TEST((State() == lifecycle_state::kLeft));
+}
+
+// Guards against reports that return a process to use which has deregistered.
+BOOST_AUTO_TEST_CASE(ContinuedReportsDoNotUndoADeregistration)
+{
+  Health("a", true);
+  Handle(Report("a", 100, 9));
+  Handle(Deregistration("a"));
+  for (std::uint64_t sequence = 1; sequence < 20; ++sequence) {
+    mNow += kInterval;
+    Handle(Report("a", 100, sequence));
+    Health("a", true);
+    BOOST_TEST((State() == lifecycle_state::kLeft));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/TestUpstreamReports.cpp
+++ b/Tests/Platform/TestUpstreamReports.cpp
@@ -61,4 +61,39 @@
   BOOST_TEST(mesh.Heartbeat(kStart, "ready", "2") == 200U);
 }
 
+// Guards against one odd report in the name of the upstream, after which its
+// own reports are acknowledged, but it gets no requests.
+BOOST_AUTO_TEST_CASE(HighNumbersDoNotStopRequestsToTheUpstream)
+{
+  // Beyond the time after which a silent upstream counts as unavailable.
+  constexpr int kReports = 80;
+  platform_mesh mesh;
+  mesh.Heartbeat(kStart, "ready", "1");
+  BOOST_REQUIRE(IsServed(mesh));
+  BOOST_TEST(mesh.Heartbeat(kStart + 1, "ready", "18446744073709551615") ==
+             200U);
+  for (int sequence = 2; sequence < kReports; ++sequence) {
+    BOOST_TEST(mesh.Heartbeat(kStart, "ready", std::to_string(sequence)) ==
+               200U);
+    BOOST_TEST(mesh.SendRequest() == 200U);
+    std::this_thread::sleep_for(100ms);
+  }
+}
+
+// Guards against reports with numbers that no upstream has.
+BOOST_AUTO_TEST_CASE(UnusableReportsAreNotAcknowledged)
+{
+  platform_mesh mesh;
+  for (auto const* const sequence :
+       { "-1", "18446744073709551616", "1e400", "0.5", "\"1\"", "null" }) {
+    BOOST_TEST(mesh.Heartbeat(kStart, "ready", sequence) == 400U, sequence);
+  }
+  BOOST_TEST(mesh.Heartbeat(kStart, "asleep", "1") == 400U);
+  std::string const deep(100'000, '[');
+  BOOST_TEST(mesh.Post("instances.heartbeat", deep) == 400U);
+  BOOST_TEST(mesh.Post("instances.deregister", deep) == 400U);
+  mesh.Heartbeat(kStart, "ready", "1");
+  BOOST_TEST(IsServed(mesh));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
