platform: Refuse ids, slots and times that no upstream has

A heartbeat of another writer with 2^32-1 slots was accepted and announced to all senders, and an id was taken whatever it held: empty, 4 KB long, or with a line break, although requests to the upstream carry it in a header. A keep-alive time or deadline near 2^63 overflowed the duration that it was converted to.

An id must have 1 to 256 visible characters, also in the response of the health endpoint, and slots are at most the 100,000 that the daemon's settings allow.

--- a/Tests/Platform/TestReports.cpp
+++ b/Tests/Platform/TestReports.cpp
@@ -59,6 +59,50 @@
   }
 }
 
+// Guards against ids that cannot be sent in a header, and slots that would draw
+// all calls of the mesh to one upstream.
+BOOST_AUTO_TEST_CASE(OddIdsAndSlotsAreRefused)
+{
+  auto const decode = [](std::string const& aId, std::string const& aSlots) {
+    auto const body = R"({"Address":"10.1.0.8:8301","Info":{"Service":"desk",
+      "Slots":)" + aSlots +
+                      R"(},"Status":{"State":"ready","Sequence":4,
+      "ColdRemainingMs":0}})";
+    return core::Attempt([&] { return platform::DecodeHeartbeat(aId, body); });
+  };
+  BOOST_TEST(!!decode("i-1", "100000"));
+  for (auto const* const slots :
+       { "0", "100001", "4294967295", "4294967296" }) {
+    BOOST_TEST(!decode("i-1", slots), slots);
+  }
+  for (auto const& id : { std::string(),
+                          std::string("i-1\r\nDeadline-Ms: 1"),
+                          std::string("i 1"),
+                          std::string(4096, 'i') }) {
+    BOOST_TEST(!decode(id, "8"), id);
+    BOOST_TEST(!core::Attempt([&] { return platform::DecodeFarewell(id, ""); }),
+               id);
+    BOOST_TEST(
+      platform::DecodeHealth({ { 200, { { "instance-id", id } } }, {} })
+        .mId.IsEmpty(),
+      id);
+  }
+}
+
+// Guards against times that overflow a duration, such as a keep-alive time that
+// becomes negative.
+BOOST_AUTO_TEST_CASE(LongTimesAreCut)
+{
+  auto const dialect = platform::MakeDialect();
+  constexpr auto* kHighest = "9223372036854775807";
+  auto const caller =
+    dialect.mReadCaller(Fields({ { "Deadline-Ms", kHighest } }));
+  BOOST_TEST((*caller.mTimeLeft == 24h));
+  auto const response = dialect.mReadResponse(
+    200, Fields({ { "Keep-Alive", "timeout=9223372036854775807" } }));
+  BOOST_TEST((*response.mKeepAlive == 24h));
+}
+
 BOOST_AUTO_TEST_CASE(FarewellNeedsNoBody)
 {
   for (auto const* const body : { "", "{}", R"({"born":5})" }) {
