LibDaemon: Open new connections when an address passes to another process

Callers got a 502 for calls of an upstream that had just taken over an address, and its daemon got its tables late. After a loss of power nothing closes the connections to the former process. Links are kept by address, so that peers sent calls, and the tables that the new daemon had asked for, on a dead connection until its silence was noticed, about 1.7 s later.

A daemon now renews its links to a member whose announced process start has changed (event=links_renewed). Streams on the former link go on, since it may already lead to the new process; it is closed once it has none. LinkTo() returns a shared pointer, because a call may outlast the link's entry. Frames and messages are unchanged.

--- a/Libraries/LibDaemon/CallLink.cpp
+++ b/Libraries/LibDaemon/CallLink.cpp
@@ -287,7 +287,7 @@
 {
 }
 
-call_link&
+std::shared_ptr<call_link>
 link_pool::LinkTo(core::address const& aPeer)
 {
   auto& link = mLinks[aPeer];
@@ -299,7 +299,26 @@
     asio::co_spawn(
       mExecutor, [this] { return MonitorLiveness(); }, asio::detached);
   }
-  return *link;
+  return link;
+}
+
+void
+link_pool::Renew(core::address const& aPeer)
+{
+  if (auto link = mLinks.extract(aPeer)) {
+    mFormerLinks.push_back(std::move(link.mapped()));
+  }
+}
+
+void
+link_pool::CloseUnusedFormerLinks()
+{
+  std::erase_if(mFormerLinks, [](std::shared_ptr<call_link> const& aLink) {
+    if (aLink->IsUnused()) {
+      aLink->Close();
+    }
+    return aLink->IsUnused();
+  });
 }
 
 task<void>
@@ -313,6 +332,7 @@
     if (code) {
       co_return;
     }
+    CloseUnusedFormerLinks();
     auto const now = Now();
     // After a pause of this process, missing replies do not prove that a peer
     // is unresponsive.
@@ -322,6 +342,9 @@
     for (auto const& [peer, link] : mLinks) {
       link->CheckLiveness(now);
     }
+    for (auto const& link : mFormerLinks) {
+      link->CheckLiveness(now);
+    }
   }
 }
 
@@ -334,6 +357,9 @@
   for (auto const& [peer, link] : mLinks) {
     link->Close();
   }
+  for (auto const& link : mFormerLinks) {
+    link->Close();
+  }
 }
 
 }
--- a/Libraries/LibDaemon/CallLink.h
+++ b/Libraries/LibDaemon/CallLink.h
@@ -55,6 +55,7 @@
   /// Sends a probe if frames were sent but none has been received for a while.
   void CheckLiveness(core::time_point aNow);
   void Close();
+  bool IsUnused() const { return mStreams.empty() && !mIsConnecting; }
 
   /// Time without a frame from the peer after which a probe is sent.
   static constexpr core::duration kProbeAfterSilence =
@@ -103,17 +104,24 @@
 public:
   link_pool(asio::any_io_executor aExecutor, hello aHello, metrics& aMetrics);
 
-  call_link& LinkTo(core::address const& aPeer);
+  std::shared_ptr<call_link> LinkTo(core::address const& aPeer);
+  /// Makes LinkTo() open another connection to aPeer, since another process has
+  /// the address now. The connection may still look open if the former one
+  /// ended without closing it. Streams that are open on it go on.
+  void Renew(core::address const& aPeer);
   void CloseAll();
 
 private:
   /// Checks all links for unresponsive peers until CloseAll().
   task<void> MonitorLiveness();
+  void CloseUnusedFormerLinks();
 
   asio::any_io_executor mExecutor;
   hello mHello;
   metrics& mMetrics;
   std::map<core::address, std::shared_ptr<call_link>> mLinks;
+  /// Renewed links; each is closed once it has no streams.
+  std::vector<std::shared_ptr<call_link>> mFormerLinks;
   std::shared_ptr<asio::steady_timer> mLivenessTimer;
 };
 
--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -167,7 +167,7 @@
   auto const& context = mRequest.mContext;
   auto payload = EncodePermitMessage(permit_request{ id, context.mRequest });
   mServices.mLinks.LinkTo(context.mRootDaemon)
-    .Send(traffic_message{ traffic_topic::kRetryPermits, std::move(payload) });
+    ->Send(traffic_message{ traffic_topic::kRetryPermits, std::move(payload) });
   auto const until = std::min(Now() + kPermitTimeout, context.mDeadline);
   while (!response->has_value() && Now() < until && !mIsAbandoned) {
     co_await mSignal.Wait(until);
@@ -203,16 +203,16 @@
   mLastHttpStatus = 0;
   mAttemptBytes = 0;
   auto const started = Now();
-  auto& link = mServices.mLinks.LinkTo(aChosen.mPeerAddress);
-  auto const stream = link.Open(MakeHead(), [weak = weak_from_this()] {
+  auto const link = mServices.mLinks.LinkTo(aChosen.mPeerAddress);
+  auto const stream = link->Open(MakeHead(), [weak = weak_from_this()] {
     if (auto const self = weak.lock()) {
       self->Notify();
     }
   });
-  auto result = co_await ProcessStreamEvents(aChosen, link, stream);
-  link.Release(stream->mId);
+  auto result = co_await ProcessStreamEvents(aChosen, *link, stream);
+  link->Release(stream->mId);
   if (!result.mIsComplete) {
-    link.Send(cancel{ stream->mId });
+    link->Send(cancel{ stream->mId });
   }
   auto const outcomeOfAttempt =
     result.mIsComplete ? outcome::kRan : result.mRefusal.mOutcome;
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -377,6 +377,12 @@
   HandleDirectory(membership::own_state_changed{ aState, aSlots });
 }
 
+void
+control_plane::RenewLink(core::address const& aPeer)
+{
+  mTransport.RenewLink(aPeer);
+}
+
 void
 control_plane::SetSeeds(std::vector<core::address> aSeeds)
 {
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -46,6 +46,8 @@
   /// Without aSlots, the announced slots stay the same.
   void SetOwnState(membership::lifecycle_state aState,
                    std::optional<std::uint32_t> aSlots);
+  /// Makes messages to aPeer use a new connection; see link_pool::Renew().
+  void RenewLink(core::address const& aPeer);
   void SetSeeds(std::vector<core::address> aSeeds);
   /// Records the peers that sent requests recently. A drain is pushed to them.
   void RecordSenders(std::vector<core::address> aSenders);
--- a/Libraries/LibDaemon/ControlTransport.cpp
+++ b/Libraries/LibDaemon/ControlTransport.cpp
@@ -111,7 +111,13 @@
 control_transport::SendStream(core::address const& aTo,
                               control_envelope const& aEnvelope)
 {
-  mLinks.LinkTo(aTo).Send(control_frame{ EncodeEnvelope(aEnvelope) });
+  mLinks.LinkTo(aTo)->Send(control_frame{ EncodeEnvelope(aEnvelope) });
+}
+
+void
+control_transport::RenewLink(core::address const& aTo)
+{
+  mLinks.Renew(aTo);
 }
 
 void
--- a/Libraries/LibDaemon/ControlTransport.h
+++ b/Libraries/LibDaemon/ControlTransport.h
@@ -50,6 +50,8 @@
   void SendDatagram(core::address const& aTo,
                     control_envelope const& aEnvelope);
   void SendStream(core::address const& aTo, control_envelope const& aEnvelope);
+  /// Makes SendStream() use a new connection to aTo; see link_pool::Renew().
+  void RenewLink(core::address const& aTo);
   /// Handles an encoded envelope that was received over TCP.
   void OnStreamBytes(std::string_view aBytes);
   void Close();
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -73,7 +73,7 @@
     auto& thread = *mThreads.front();
     asio::dispatch(thread.Context(),
                    [&thread, aTo, message = std::move(aMessage)] {
-                     thread.Links().LinkTo(aTo).Send(message);
+                     thread.Links().LinkTo(aTo)->Send(message);
                    });
   })
   , mClaims(OwnHolderId(mSettings), Now(), SeedFor(mSettings), mMessenger)
@@ -157,6 +157,7 @@
 void
 mesh_daemon::OnView(std::shared_ptr<routing_view const> aView)
 {
+  RenewLinks(*aView);
   mMessenger.SetView(*aView);
   std::set<traffic::holder_id> peers;
   for (auto const& member : aView->mMembers) {
@@ -178,6 +179,35 @@
   }
 }
 
+void
+mesh_daemon::RenewLinks(routing_view const& aView)
+{
+  std::map<core::instance_id, core::incarnation> processes;
+  for (auto const& member : aView.mMembers) {
+    processes.emplace(member.mInstance, member.mIncarnation);
+    auto const before = mPeerProcesses.find(member.mInstance);
+    bool const isReplaced =
+      before != mPeerProcesses.end() && before->second != member.mIncarnation;
+    if (!isReplaced) {
+      continue;
+    }
+    core::LogInfo("links_renewed")
+      .Field("member", member.mInstance.mValue)
+      .Field("peer", core::FormatAddress(member.mPeerAddress))
+      .Field("process_start_before",
+             static_cast<std::int64_t>(before->second.mValue))
+      .Field("process_start",
+             static_cast<std::int64_t>(member.mIncarnation.mValue));
+    mControl.RenewLink(member.mPeerAddress);
+    for (auto const& thread : mThreads) {
+      thread->Post([&links = thread->Links(), peer = member.mPeerAddress] {
+        links.Renew(peer);
+      });
+    }
+  }
+  mPeerProcesses = std::move(processes);
+}
+
 void
 mesh_daemon::InstallClaimMap(std::string const& aEncoded)
 {
@@ -249,8 +279,8 @@
                                   mPolicy.TakePermit(Now(), request.mRequest) };
   aThread.Links()
     .LinkTo(aPeer.mPeerAddress)
-    .Send(traffic_message{ traffic_topic::kRetryPermits,
-                           EncodePermitMessage(response) });
+    ->Send(traffic_message{ traffic_topic::kRetryPermits,
+                            EncodePermitMessage(response) });
 }
 
 core::result<void>
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -10,6 +10,7 @@
 #include "LibCore/StateChart.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -80,6 +81,8 @@
                            hello const& aPeer);
   void OnView(std::shared_ptr<routing_view const> aView);
   void InstallClaimMap(std::string const& aEncoded);
+  /// Renews the links to members whose address has passed to another process.
+  void RenewLinks(routing_view const& aView);
 
   daemon_settings mSettings;
   daemon_extension mExtension;
@@ -102,6 +105,8 @@
   std::vector<bound_listener> mListeners;
   /// The installed claim map in its encoded form.
   std::string mInstalledClaimMap;
+  /// Start times of the members' processes, as of the latest view.
+  std::map<core::instance_id, core::incarnation> mPeerProcesses;
   /// Admitted calls at the last log line that counts refusals.
   std::uint64_t mLoggedCalls = 0;
   bool mIsStopped = false;
