--- a/Tests/LibMembership/TestConfigurationDistributor.cpp
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -105,6 +105,17 @@
   BOOST_TEST(distributor.Revision().mValue == 5U);
 }
 
+// Guards against an active revision that decreases when a control replica has
+// recovered from a failed journal with an older commit mark.
+BOOST_AUTO_TEST_CASE(OlderCommittedTablesAreIgnored)
+{
+  auto distributor = Distributor();
+  distributor.Handle(kStart, Commit(5));
+  BOOST_TEST(distributor.Handle(kStart, Commit(4)).empty());
+  BOOST_TEST(distributor.Handle(kStart, Commit(5)).empty());
+  BOOST_TEST(distributor.Revision().mValue == 5U);
+}
+
 // Guards against the installation of damaged tables.
 BOOST_AUTO_TEST_CASE(SnapshotWithAWrongHashIsRefused)
 {
