LibDaemon: Take former pools only while no service has them

A daemon accepts calls of pools that its service had a short time ago, so that calls are not refused while an edit that drops a pool spreads. It did so too when the newest tables give the pool to another service: a sender with these tables and an outdated member then got the former service.

LibDaemon/TrafficPolicy/ PoolOfAnotherServiceIsNotTakenForAFormerOne fails without the change.

--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -283,14 +283,14 @@
 {
   std::scoped_lock const lock(mMutex);
   auto const& tables = mView->Tables();
+  if (tables.mPools.contains(aPool)) {
+    return IsOwnPool(tables, aPool) ? pool_match::kOwnService
+                                    : pool_match::kOtherService;
+  }
   auto const former = mFormerPools.find(aPool);
   bool const wasOwn =
     former != mFormerPools.end() && aNow - former->second < kMaximumTablesAge;
-  if (wasOwn || IsOwnPool(tables, aPool)) {
-    return pool_match::kOwnService;
-  }
-  return tables.mPools.contains(aPool) ? pool_match::kOtherService
-                                       : pool_match::kUnknownPool;
+  return wasOwn ? pool_match::kOwnService : pool_match::kUnknownPool;
 }
 
 traffic::call_id
--- a/Tests/LibDaemon/TestTrafficPolicy.cpp
+++ b/Tests/LibDaemon/TestTrafficPolicy.cpp
@@ -210,4 +210,24 @@
   }
 }
 
+// Guards against calls that run at the service which had the pool before,
+// although newer tables give the pool to another service.
+BOOST_AUTO_TEST_CASE(PoolOfAnotherServiceIsNotTakenForAFormerOne)
+{
+  auto const install = [&](std::string const& aPool, std::string aService) {
+    tables::pool row;
+    row.mName = aPool;
+    row.mService = { std::move(aService) };
+    tables::table_set tables;
+    tables.mPools.emplace(aPool, row);
+    Install(std::move(tables));
+  };
+  install("orders", "order");
+  BOOST_TEST((mPolicy.MatchPool(mNow, "orders") == pool_match::kOwnService));
+  Unlist();
+  BOOST_TEST((mPolicy.MatchPool(mNow, "orders") == pool_match::kOwnService));
+  install("orders", "stock");
+  BOOST_TEST((mPolicy.MatchPool(mNow, "orders") == pool_match::kOtherService));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
