LibMembership: Keep a drain that was reported without a start time

A daemon that has just started keeps the reports of a process apart by start time until it is confirmed. If a drain was reported without a start time and a further report with one, the confirmation made the upstream serve, though the drain may have been acknowledged. A drain of any record of the confirmed process counts now.

The report that waited for the confirmation is acknowledged only if the upstream is in use as the report says, since other reports may have arrived during the query of the health endpoint.

Found by reading, in an independent review. The order of events during a query has no test.

--- a/Libraries/LibDaemon/DaemonUpstream.cpp
+++ b/Libraries/LibDaemon/DaemonUpstream.cpp
@@ -27,9 +27,11 @@
   ApplyUpstreamStatus();
   if (outcome == report_outcome::kUnconfirmed) {
     co_await QueryHealth();
-    outcome = mUpstream.IsOfPresentProcess(aReport)
-                ? report_outcome::kAccepted
-                : report_outcome::kUnconfirmed;
+    // Other reports may have arrived during the query.
+    bool const hasTakenEffect =
+      mUpstream.IsOfPresentProcess(aReport) && mUpstream.AgreesWith(aReport);
+    outcome =
+      hasTakenEffect ? report_outcome::kAccepted : report_outcome::kUnconfirmed;
   }
   if (outcome == report_outcome::kOutdated && !mUpstream.AgreesWith(aReport)) {
     outcome = report_outcome::kContradicted;
--- a/Libraries/LibMembership/UpstreamTracker.cpp
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -330,7 +330,9 @@
   mLastReport = aNow;
   mLastSign = aNow;
   std::erase_if(mPending, [&](pending_process const& aPending) {
-    return CanBeSameProcess(aPending.mLatest, aReport);
+    bool const isSame = CanBeSameProcess(aPending.mLatest, aReport);
+    mIsLeaving |= isSame && aPending.mHasDrained;
+    return isSame;
   });
   ApplyLeaving();
 }
--- a/Tests/LibMembership/TestUpstreamTracker.cpp
+++ b/Tests/LibMembership/TestUpstreamTracker.cpp
@@ -319,6 +319,27 @@
   BOOST_TEST((Handle(Report("c", 400, 1)) == report_outcome::kUnconfirmed));
 }
 
+// Guards against a drain that is forgotten when the process is confirmed: its
+// reports with and without a start time are kept apart until then.
+BOOST_AUTO_TEST_CASE(DrainWithoutStartTimeIsKeptAtTheConfirmation)
+{
+  Handle(Draining("a", 0, 3));
+  Handle(Report("a", 100, 4));
+  Health("a", true);
+  BOOST_TEST(Id() == "a");
+  BOOST_TEST((State() == lifecycle_state::kDraining));
+}
+
+// Guards against an upstream that is taken into use from a health response
+// which does not tell its slots, or does not name the process.
+BOOST_AUTO_TEST_CASE(HealthWithoutSlotsOrIdMakesNoUpstreamServe)
+{
+  mTracker.HandleHealth(mNow, { { "a" }, 0, true, false });
+  BOOST_TEST(Id().empty());
+  Health("", true);
+  BOOST_TEST((State() != lifecycle_state::kServing));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(OddReports, started_daemon)
