Tests: Remove an unused counter of the table delivery

zone_world counted sent messages, and no test read the count. The checks are unchanged; LibMembership/TableDelivery passes.

--- a/Tests/LibMembership/TestTableDelivery.cpp
+++ b/Tests/LibMembership/TestTableDelivery.cpp
@@ -120,7 +120,6 @@
   {
     return mDistributors.at(aName);
   }
-  std::size_t SentCount() const { return mSentCount; }
   core::random_source& Random() { return mRandom; }
   core::time_point Now() const { return mNow; }
 
@@ -161,7 +160,6 @@
       if (send == nullptr) {
         continue;
       }
-      ++mSentCount;
       auto const& to = send->mTo.mHost;
       if (mDistributors.contains(to) &&
           (!mFilter || mFilter(aName, to, *send))) {
@@ -183,7 +181,6 @@
     bool(std::string const&, std::string const&, send_message const&)>
     mFilter;
   std::vector<std::pair<std::string, distributor_event>> mInFlight;
-  std::size_t mSentCount = 0;
 };
 
 /// Gives revision 1 to all daemons and lets them run until they are caught up.
