LibMembership: Take no single late report for a running upstream

The users' pages name no bound for the delay of a report.

Cause: after 6 s without a restart the tracker took any response of the health endpoint that named the process for a confirmation, also an unhealthy one. That a report cannot be later than 6 s was an assumption. Two reports that arrived 6 s apart confirmed a process in the same way.

An unhealthy response now confirms a process only if it has started after one that this daemon has had in use: such a process cannot have deregistered before the daemon's start. Without a healthy response, a series of reports confirms a process only if it has at least four reports, lasts 6 s and has no pause longer than 3 s. Reports that are late by any time do not arrive as regularly as a process sends them. A sound upstream with a wrong health endpoint that starts beside a daemon which knows no former process waits up to 6 s longer.

Ruled out: keeping the deregistration beyond the process. The instance has no disk, and a kill right after the acknowledgement leaves no time to tell peers.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -89,8 +89,7 @@
               mSettings.mUpstream.mService,
               mExtension.mReadHealth
                 ? membership::report_confirmation::kHealthEndpoint
-                : membership::report_confirmation::kNone,
-              Now())
+                : membership::report_confirmation::kNone)
   , mSeeds(mSettings.mSeeds)
   , mAdmin(
       mContext,
--- a/Libraries/LibMembership/UpstreamTracker.cpp
+++ b/Libraries/LibMembership/UpstreamTracker.cpp
@@ -9,9 +9,15 @@
 /// Reports arrive every 1.5 s and may be seconds late; the upstream is
 /// considered unavailable after four missing reports.
 constexpr core::duration kReportTimeout = std::chrono::seconds(6);
-/// Reports may be seconds late. A report that arrives later than this after a
-/// moment was sent after that moment.
-constexpr core::duration kMaximumReportDelay = std::chrono::seconds(6);
+/// Length of a series of reports that proves that its process still reports. A
+/// report may be late by any time, so that a single one proves nothing.
+constexpr core::duration kSeriesLength = std::chrono::seconds(6);
+constexpr std::uint32_t kLeastSeriesReports = 4;
+/// Longest pause within a series: one missing report.
+constexpr core::duration kMaximumSeriesPause = std::chrono::seconds(3);
+/// Time for which a deregistration without a start time also keeps out a next
+/// process with the same id.
+constexpr core::duration kDepartureLifetime = std::chrono::seconds(6);
 /// Limits for what other writers can make the daemon keep.
 constexpr std::size_t kMaximumPendingProcesses = 8;
 constexpr std::size_t kMaximumDepartures = 16;
@@ -53,12 +59,10 @@
 
 upstream_tracker::upstream_tracker(core::address aAddress,
                                    core::service_id aService,
-                                   report_confirmation aConfirmation,
-                                   core::time_point aStarted)
+                                   report_confirmation aConfirmation)
   : mAddress(std::move(aAddress))
   , mService(std::move(aService))
   , mConfirmation(aConfirmation)
-  , mStarted(aStarted)
 {
 }
 
@@ -195,11 +199,12 @@
 upstream_tracker::HasContinued(core::time_point aNow,
                                pending_process const& aPending) const
 {
-  // The last report was sent after the first one arrived, so that it is newer
-  // than all that was reported before.
+  // A process that has left sends no reports. What is late of it may still
+  // arrive, but not as regularly as reports are sent.
   bool const isPresentSilent =
-    mStatus.mId.IsEmpty() || aNow - mLastReport >= kMaximumReportDelay;
-  return isPresentSilent && aNow - aPending.mSeriesStart >= kMaximumReportDelay;
+    mStatus.mId.IsEmpty() || aNow - mLastReport >= kSeriesLength;
+  return isPresentSilent && aPending.mSeriesReports >= kLeastSeriesReports &&
+         aNow - aPending.mSeriesStart >= kSeriesLength;
 }
 
 bool
@@ -221,9 +226,14 @@
     if (!isSame) {
       continue;
     }
-    if (aReport.mSequence <= latest.mSequence) {
+    bool const continuesSeries =
+      aReport.mSequence > latest.mSequence &&
+      aNow - pending.mLastReport <= kMaximumSeriesPause;
+    if (!continuesSeries) {
       pending.mSeriesStart = aNow;
+      pending.mSeriesReports = 0;
     }
+    ++pending.mSeriesReports;
     pending.mLatest = aReport;
     pending.mLastReport = aNow;
     return pending;
@@ -231,7 +241,7 @@
   if (mPending.size() == kMaximumPendingProcesses) {
     mPending.erase(mPending.begin());
   }
-  mPending.push_back({ aReport, aNow, aNow });
+  mPending.push_back({ aReport, aNow, aNow, 1 });
   return mPending.back();
 }
 
@@ -283,12 +293,11 @@
     }
     return;
   }
-  // The endpoint may report a wrong state. Soon after the start, a report of
-  // "serving" may also be late, so both must agree. Later, the daemon itself
-  // has got all reports that are newer than a late one.
-  bool const isSettled = aNow - mStarted >= kMaximumReportDelay;
+  // The endpoint may report a wrong state, so that an unhealthy response does
+  // not tell whether the process has deregistered.
   bool const isConfirmed = aHealth.mIsHealthy || aHealth.mIsLeaving ||
-                           pending->mHasDrained || isSettled;
+                           pending->mHasDrained ||
+                           IsSuccessor(pending->mLatest);
   if (!isConfirmed) {
     return;
   }
@@ -302,6 +311,13 @@
   }
 }
 
+bool
+upstream_tracker::IsSuccessor(upstream_report const& aReport) const
+{
+  return mSeenStartMilliseconds != 0 &&
+         aReport.mStartMilliseconds > mSeenStartMilliseconds;
+}
+
 void
 upstream_tracker::DropExpired(core::time_point aNow)
 {
@@ -312,7 +328,7 @@
   // the same id.
   std::erase_if(mDepartures, [aNow](departure const& aDeparture) {
     return aDeparture.mStartMilliseconds == 0 &&
-           aNow - aDeparture.mTime >= kMaximumReportDelay;
+           aNow - aDeparture.mTime >= kDepartureLifetime;
   });
 }
 
@@ -334,6 +350,9 @@
     mIsLeaving |= isSame && aPending.mHasDrained;
     return isSame;
   });
+  if (aReport.mLifecycle != lifecycle_state::kLeft) {
+    mSeenStartMilliseconds = mStartMilliseconds;
+  }
   ApplyLeaving();
 }
 
--- a/Libraries/LibMembership/UpstreamTracker.h
+++ b/Libraries/LibMembership/UpstreamTracker.h
@@ -76,7 +76,8 @@
 };
 
 /// Whether a process that is not known yet must be confirmed before its reports
-/// count. A daemon that has just started does not know which reports are late.
+/// count. A daemon does not know which processes have deregistered before its
+/// start, and their reports may be late by any time.
 enum class report_confirmation : std::uint8_t
 {
   kNone,
@@ -93,12 +94,10 @@
 class upstream_tracker
 {
 public:
-  /// aStarted is the start of the daemon.
   upstream_tracker(
     core::address aAddress,
     core::service_id aService,
-    report_confirmation aConfirmation = report_confirmation::kNone,
-    core::time_point aStarted = {});
+    report_confirmation aConfirmation = report_confirmation::kNone);
 
   /// Updates the status if the report is accepted. Returns whether it was and,
   /// if not, why.
@@ -135,9 +134,11 @@
   struct pending_process
   {
     upstream_report mLatest;
-    /// Start of the series of reports with increasing sequence numbers.
+    /// Start of the series of reports with increasing sequence numbers and
+    /// without a long pause.
     core::time_point mSeriesStart;
     core::time_point mLastReport;
+    std::uint32_t mSeriesReports = 0;
     bool mHasDrained = false;
   };
 
@@ -162,8 +163,8 @@
   /// series that it continues replaces the status.
   report_outcome HandleOutdated(core::time_point aNow,
                                 upstream_report const& aReport);
-  /// Returns whether the series was sent after everything that the daemon knows
-  /// of, and the process of the status is silent.
+  /// Returns whether the series shows that its process still reports, and the
+  /// process of the status is silent.
   bool HasContinued(core::time_point aNow,
                     pending_process const& aPending) const;
   pending_process& AddPending(core::time_point aNow,
@@ -171,6 +172,10 @@
   /// Returns the process aId that reported last and is not older than the
   /// present one, or nullptr.
   pending_process const* FindPending(upstream_id const& aId) const;
+  /// Returns whether the process has started after one that this daemon has
+  /// seen running, so that it cannot have deregistered before the daemon's
+  /// start.
+  bool IsSuccessor(upstream_report const& aReport) const;
   /// Removes departures and pending processes of which no report can arrive
   /// anymore.
   void DropExpired(core::time_point aNow);
@@ -182,9 +187,10 @@
   core::address mAddress;
   core::service_id mService;
   report_confirmation mConfirmation;
-  core::time_point mStarted;
   upstream_status mStatus;
   std::uint64_t mStartMilliseconds = 0;
+  /// Start time of the last process that was in use; 0 if it is not known.
+  std::uint64_t mSeenStartMilliseconds = 0;
   std::uint64_t mSequence = 0;
   core::time_point mLastReport{};
   /// Last report in the name of the present process, accepted or not.
--- a/Tests/LibMembership/TestUpstreamTracker.cpp
+++ b/Tests/LibMembership/TestUpstreamTracker.cpp
@@ -49,8 +49,7 @@
 {
   upstream_tracker mTracker{ kAddress,
                              kService,
-                             report_confirmation::kHealthEndpoint,
-                             kStart };
+                             report_confirmation::kHealthEndpoint };
   core::time_point mNow = kStart;
 
   report_outcome Handle(upstream_report const& aReport)
@@ -201,6 +200,56 @@
   BOOST_TEST((State() == lifecycle_state::kStarting));
 }
 
+// Guards against one report, however late, of an upstream that has deregistered
+// at the former process of the daemon.
+BOOST_AUTO_TEST_CASE(ReportThatIsVeryLateDoesNotConfirmItsProcess)
+{
+  for (auto const delay : { 5s, 6s, 7s, 9s, 30s, 600s }) {
+    started_daemon daemon;
+    daemon.Health("a", false);
+    daemon.mNow += delay;
+    BOOST_TEST(
+      (daemon.Handle(Report("a", 100, 8)) == report_outcome::kUnconfirmed));
+    daemon.Health("a", false);
+    BOOST_TEST((daemon.State() == lifecycle_state::kStarting));
+  }
+}
+
+// Guards against several late reports that are taken for a process which still
+// reports.
+BOOST_AUTO_TEST_CASE(LateReportsWithPausesDoNotConfirmTheirProcess)
+{
+  for (auto const& pauses : { std::vector{ 6000ms },
+                              std::vector{ 3500ms, 3500ms, 3500ms, 3500ms },
+                              std::vector{ 10ms, 10ms, 10ms, 7000ms },
+                              std::vector{ 3000ms, 3000ms } }) {
+    started_daemon daemon;
+    std::uint64_t sequence = 8;
+    daemon.Handle(Report("a", 100, sequence));
+    for (auto const pause : pauses) {
+      daemon.mNow += pause;
+      daemon.Health("a", false);
+      BOOST_TEST((daemon.Handle(Report("a", 100, ++sequence)) ==
+                  report_outcome::kUnconfirmed));
+    }
+    daemon.Health("a", false);
+    BOOST_TEST((daemon.State() == lifecycle_state::kStarting));
+  }
+}
+
+// Guards against a process that deregistered before the daemon has started and
+// is taken for the successor of one that the daemon only knows to have left.
+BOOST_AUTO_TEST_CASE(SuccessorOfAProcessThatWasNotSeenIsConfirmedFirst)
+{
+  auto former = Deregistration("a");
+  former.mStartMilliseconds = 50;
+  Handle(former);
+  mNow += 60s;
+  BOOST_TEST((Handle(Report("a", 100, 8)) == report_outcome::kUnconfirmed));
+  Health("a", false);
+  BOOST_TEST((State() == lifecycle_state::kStarting));
+}
+
 // Guards against a sound upstream that waits after a restart of its daemon.
 BOOST_AUTO_TEST_CASE(HealthEndpointConfirmsTheProcess)
 {
--- a/Tests/Platform/TestUpstreamReports.cpp
+++ b/Tests/Platform/TestUpstreamReports.cpp
@@ -49,6 +49,29 @@
   BOOST_TEST(mesh.Runs() == runs);
 }
 
+// Guards against requests to an upstream that has deregistered, when a single
+// report arrives long after its daemon was killed.
+BOOST_AUTO_TEST_CASE(VeryLateReportDoesNotUndoADeregistration)
+{
+  // Longer than any series of reports that confirms a process.
+  constexpr auto kDelay = 8s;
+  platform_mesh mesh;
+  mesh.Heartbeat(kStart, "ready", "1");
+  BOOST_REQUIRE(IsServed(mesh));
+  BOOST_TEST(mesh.Post("instances.deregister", "") == 200U);
+  mesh.SetHealthy(false);
+  mesh.RestartDaemon();
+  auto const runs = mesh.Runs();
+  std::this_thread::sleep_for(kDelay);
+  BOOST_REQUIRE(WaitUntil([&] { return mesh.SendRequest() != 0; }));
+  BOOST_TEST(mesh.Heartbeat(kStart, "ready", "2") == 503U);
+  for (int request = 0; request < 20; ++request) {
+    BOOST_TEST(mesh.SendRequest() != 200U);
+    std::this_thread::sleep_for(100ms);
+  }
+  BOOST_TEST(mesh.Runs() == runs);
+}
+
 // Guards against a sound upstream that is not used after a restart of its
 // daemon until its next report.
 BOOST_AUTO_TEST_CASE(HealthyUpstreamIsUsedAfterARestartOfItsDaemon)
