LibDaemon: Pass on no request in a stop that cannot be finished before its end

Cause: a stopping daemon decides on a request when its head arrives. What is accepted is passed on whenever its body ends, and whatever has no response when the grace period is over loses its connection.

A request whose body is not complete when the time for callers is over (drain_serve_ms) now goes on only if its deadline ends before the process does; otherwise it is refused at once. In a stop, nothing of a request is sent upstream before its body is complete, if the buffer holds it, so that the refusal as not run is true. A request that was streamed before is ended before the last part of its body. The daemon reads the rest of such a body until it stops, since closing the connection earlier would lose the refusal. Calls of the local upstream get the end of the stop as their deadline. Requests that have no response when the grace period is over are answered (502, or 503 if nothing was sent) instead of losing their connection.

A whole request that was taken in time and whose upstream still works at the end of the grace period is answered with 502.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -25,6 +25,11 @@
 /// delay of that daemon. Stays far below the 250 ms by which users allow a
 /// route's timeout to be exceeded.
 constexpr core::duration kOutcomeGracePeriod = std::chrono::milliseconds(80);
+/// Interval at which a waiting call checks whether the daemon drains. Shorter
+/// than the time for which a draining daemon runs on.
+constexpr core::duration kStopCheckInterval = std::chrono::milliseconds(500);
+/// Suggested wait for callers whose request a draining daemon cannot finish.
+constexpr core::duration kDrainingRetryAfter = std::chrono::milliseconds(500);
 
 }
 
@@ -45,10 +50,55 @@
   mSignal.Notify();
 }
 
+void
+call_runner::CompleteBody()
+{
+  mHasLateBody = IsBodyTooLate();
+  mBody.MarkComplete();
+  Notify();
+}
+
+bool
+call_runner::IsBodyTooLate() const
+{
+  if (mBody.IsComplete() || !mRequest.mHasBody) {
+    return mHasLateBody;
+  }
+  return !mServices.mPolicy.CanFinishBeforeStop(Now(),
+                                                mRequest.mContext.mDeadline);
+}
+
+task<std::optional<call_refusal>>
+call_runner::WaitForBodyInDrain()
+{
+  auto const deadline = mRequest.mContext.mDeadline;
+  auto const isWaiting = [this] {
+    return mRequest.mHasBody && !mBody.IsComplete() && !mBody.HasFailed() &&
+           !mIsAbandoned && mBody.FreeBytes() > 0;
+  };
+  while (isWaiting() && !IsBodyTooLate() && mServices.mPolicy.IsDraining()) {
+    if (Now() >= deadline) {
+      co_return call_refusal{ outcome::kNotRun,
+                              refusal_reason::kDeadlineExceeded,
+                              {} };
+    }
+    co_await mSignal.Wait(std::min(deadline, Now() + kStopCheckInterval));
+  }
+  if (IsBodyTooLate()) {
+    co_return call_refusal{ outcome::kNotRun,
+                            refusal_reason::kDraining,
+                            kDrainingRetryAfter };
+  }
+  co_return std::nullopt;
+}
+
 task<call_result>
 call_runner::Run()
 {
   bool mayHaveRun = false;
+  if (auto const refused = co_await WaitForBodyInDrain()) {
+    co_return call_result{ false, false, *refused };
+  }
   for (;;) {
     if (Now() >= mDispatchDeadline) {
       co_return call_result{ false,
@@ -86,6 +136,21 @@
   }
 }
 
+bool
+call_runner::MustStopForDrain() const
+{
+  auto const stop = mServices.mPolicy.StopTime();
+  return stop && (IsBodyTooLate() || Now() >= *stop);
+}
+
+core::time_point
+call_runner::NextCheck(core::time_point aEnd) const
+{
+  auto const stop = mServices.mPolicy.StopTime();
+  auto const next = std::min(aEnd, Now() + kStopCheckInterval);
+  return stop ? std::min(next, std::max(*stop, Now())) : next;
+}
+
 bool
 call_runner::MustWaitForStart(call_refusal const& aRefusal) const
 {
@@ -97,8 +162,9 @@
 task<bool>
 call_runner::PrepareRetry(call_refusal const& aRefusal)
 {
-  bool const canResend =
-    !mIsAbandoned && mBody.CanReplay() && !mBody.HasFailed() && mAttempts > 0;
+  bool const canResend = !mIsAbandoned && mBody.CanReplay() &&
+                         !mBody.HasFailed() && mAttempts > 0 &&
+                         !MustStopForDrain();
   if (!canResend) {
     co_return false;
   }
@@ -298,9 +364,13 @@
       co_return MakeStoppedResult(
         *aStream, refusal_reason::kDeadlineExceeded, hasResponse);
     }
+    if (!hasResponse && MustStopForDrain()) {
+      co_return MakeStoppedResult(
+        *aStream, refusal_reason::kDraining, hasResponse);
+    }
     SendBody(aLink, *aStream);
     if (aStream->mEvents.empty()) {
-      co_await mSignal.Wait(end);
+      co_await mSignal.Wait(NextCheck(end));
       continue;
     }
     auto const event = std::move(aStream->mEvents.front());
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -91,11 +91,26 @@
   }
   /// Stops the call because the caller no longer waits for the response.
   void Abandon();
+  /// Called when the body has arrived completely.
+  void CompleteBody();
 
 private:
   /// Returns whether a request without an upstream waits for the daemon to
   /// learn of one.
   bool MustWaitForStart(call_refusal const& aRefusal) const;
+  /// In a drain, waits for the body before the call is sent anywhere, so that a
+  /// request whose body arrives too late can be refused as not run. Returns the
+  /// refusal, if any.
+  task<std::optional<call_refusal>> WaitForBodyInDrain();
+  /// Returns whether the body arrives too late for the call to be finished
+  /// before the daemon stops.
+  bool IsBodyTooLate() const;
+  /// Returns whether a call without a response must be answered because the
+  /// daemon stops.
+  bool MustStopForDrain() const;
+  /// Returns when a call that waits for events until aEnd has to check again
+  /// whether the daemon stops.
+  core::time_point NextCheck(core::time_point aEnd) const;
   task<call_result> Attempt(traffic::chosen_upstream const& aChosen);
   task<call_result> ProcessStreamEvents(
     traffic::chosen_upstream const& aChosen,
@@ -129,6 +144,9 @@
   std::uint32_t mTransparentRetries = 0;
   bool mIsAbandoned = false;
   bool mBodyEndSent = false;
+  /// The body was completed too late for the call to be finished before the
+  /// daemon stops.
+  bool mHasLateBody = false;
   std::optional<traffic::load_status> mLastLoadStatus;
   /// HTTP status of the response to the current attempt; 0 before it arrives.
   std::uint32_t mLastHttpStatus = 0;
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -491,8 +491,7 @@
 mesh_daemon::WaitUntilIdle()
 {
   auto const started = Now();
-  auto const end =
-    started + std::chrono::milliseconds(mSettings.mDrainGraceMilliseconds);
+  auto const end = mPolicy.StopTime().value_or(started);
   core::duration const serveTime =
     std::chrono::milliseconds(mSettings.mDrainServeMilliseconds);
   auto const earliest = started + std::max(kMinimumDrainTime, serveTime);
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -26,6 +26,8 @@
 /// Time for the rest of a request body that is no longer needed. Closing the
 /// connection before the body has arrived would reset it and lose the response.
 constexpr auto kDiscardTimeout = 2s;
+/// Time for the response to a call whose deadline is limited by a stop.
+constexpr core::duration kLastResponseTime = 100ms;
 /// Suggested wait for callers while the daemon has no tables or drains.
 constexpr core::duration kNotReadyRetryAfter = 500ms;
 
@@ -184,7 +186,8 @@
       co_return co_await Refuse(
         { outcome::kNotRun, refusal_reason::kNoRoute, {} });
     }
-    auto const context = MakeContext(*route);
+    auto context = MakeContext(*route);
+    LimitDeadlineInDrain(context);
     if (auto const refused = CheckContext(context)) {
       co_return co_await Refuse(*refused);
     }
@@ -241,6 +244,17 @@
     return context;
   }
 
+  /// Calls of the local upstream are served until a draining daemon stops; what
+  /// runs for them has to end before.
+  void LimitDeadlineInDrain(traffic::call_context& aContext)
+  {
+    auto const stop = Outgoing().mPolicy.StopTime();
+    if (stop && mIsNested) {
+      aContext.mDeadline =
+        std::min(aContext.mDeadline, *stop - kLastResponseTime);
+    }
+  }
+
   /// A call made by a request that runs at the local upstream inherits the shed
   /// position of that request, so that its work is completed or refused as a
   /// whole.
@@ -401,8 +415,7 @@
       aRunner.Notify();
     }
     if (mParser->is_done()) {
-      aRunner.Body().MarkComplete();
-      aRunner.Notify();
+      aRunner.CompleteBody();
     }
   }
 
@@ -567,7 +580,11 @@
   task<bool> DiscardBody()
   {
     std::array<char, kReadBytes> bytes;
-    mStream.expires_after(kDiscardTimeout);
+    // In a drain, callers whose bodies arrive late must get their refusals,
+    // too.
+    auto const end = Now() + kDiscardTimeout;
+    mStream.expires_at(ToSteadyClock(
+      std::max(end, Outgoing().mPolicy.StopTime().value_or(end))));
     while (!mParser->is_done()) {
       mParser->get().body().data = bytes.data();
       mParser->get().body().size = bytes.size();
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -489,8 +489,8 @@
   pending_callbacks callbacks;
   {
     std::scoped_lock const lock(mMutex);
-    mIsDraining = true;
     mDrainStarted = aNow;
+    mIsDraining = true;
     callbacks = Handle(aNow, traffic::admission_drain_started{});
   }
   RunCallbacks(callbacks);
@@ -505,19 +505,41 @@
 bool
 traffic_policy::IsDraining() const
 {
-  std::scoped_lock const lock(mMutex);
   return mIsDraining;
 }
 
 bool
-traffic_policy::IsRefusingCallers(core::time_point aNow) const
+traffic_policy::HasDrainServeTimePassed(core::time_point aNow) const
 {
-  std::scoped_lock const lock(mMutex);
   return mIsDraining &&
          aNow >= mDrainStarted +
                    std::chrono::milliseconds(mSettings.mDrainServeMilliseconds);
 }
 
+bool
+traffic_policy::IsRefusingCallers(core::time_point aNow) const
+{
+  return HasDrainServeTimePassed(aNow);
+}
+
+std::optional<core::time_point>
+traffic_policy::StopTime() const
+{
+  if (!mIsDraining) {
+    return std::nullopt;
+  }
+  return mDrainStarted +
+         std::chrono::milliseconds(mSettings.mDrainGraceMilliseconds);
+}
+
+bool
+traffic_policy::CanFinishBeforeStop(core::time_point aNow,
+                                    core::time_point aDeadline) const
+{
+  auto const stop = StopTime();
+  return !stop || !HasDrainServeTimePassed(aNow) || aDeadline <= *stop;
+}
+
 bool
 traffic_policy::IsUpstreamReady() const
 {
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -14,6 +14,7 @@
 #include "LibTraffic/UpstreamSelection.h"
 #include "LibTraffic/WeightedPoolSelector.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -119,6 +120,13 @@
   /// Returns whether the time for which a draining daemon still serves callers
   /// has passed.
   bool IsRefusingCallers(core::time_point aNow) const;
+  /// Returns when a draining daemon stops; empty while it does not drain.
+  std::optional<core::time_point> StopTime() const;
+  /// Returns whether a request whose body is complete at aNow can be answered
+  /// before a draining daemon stops. Callers that were still served have sent
+  /// theirs in time; later ones must reach their deadline before the stop.
+  bool CanFinishBeforeStop(core::time_point aNow,
+                           core::time_point aDeadline) const;
   /// Returns whether the daemon started so recently that it may still have to
   /// learn tables and members from others.
   bool IsStarting(core::time_point aNow) const;
@@ -210,6 +218,7 @@
   /// Returns whether the local upstream takes no new calls because it is about
   /// to stop.
   bool IsUpstreamLeaving() const;
+  bool HasDrainServeTimePassed(core::time_point aNow) const;
   void ConfigureAdmission(core::time_point aNow);
   /// Returns whether aTables give the calls of aPool to the local service.
   bool IsOwnPool(tables::table_set const& aTables,
@@ -249,7 +258,8 @@
   std::optional<traffic::upstream_condition> mCondition;
   std::uint64_t mAdmittedCalls = 0;
   core::time_point mStarted;
-  bool mIsDraining = false;
+  /// Set after mDrainStarted, so that StopTime() needs no lock.
+  std::atomic<bool> mIsDraining = false;
   core::time_point mDrainStarted;
 };
 
--- a/Tests/Platform/PlatformMesh.cpp
+++ b/Tests/Platform/PlatformMesh.cpp
@@ -17,7 +17,10 @@
 /// The host name of the route is put in front of the rest.
 constexpr char const* kTablesRest = R"(", "PathPrefix": "/browse/",
     "RouteType": "safe", "TimeoutMs": 4000, "TargetLatencyMs": 1500,
-    "Priority": 2, "Service": "catalogue", "MaxAttempts": 1 } },
+    "Priority": 2, "Service": "catalogue", "MaxAttempts": 1 },
+    "place-order": { "Hostname": "orders.example", "PathPrefix": "/order/",
+    "RouteType": "unsafe", "TimeoutMs": 4000, "TargetLatencyMs": 1500,
+    "Priority": 0, "Service": "catalogue", "MaxAttempts": 2 } },
   "Services": { "catalogue": { "HealthPath": "/health", "MaxConnections": 160,
     "Protocol": "h1", "Tls": false } },
   "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
@@ -34,16 +37,25 @@
 
 }
 
-platform_mesh::platform_mesh()
+platform_mesh::platform_mesh(bool aHasPeer)
   : mSubnet(OwnSubnet())
   , mUpstream(
-      [this](http::request const& aRequest) { return Answer(aRequest); })
+      [this](http::request const& aRequest) { return Answer(aRequest); },
+      [this](http::request const& aRequest) -> core::duration {
+        return aRequest.mHead.mTarget.starts_with("/order/")
+                 ? mWork.load()
+                 : std::chrono::milliseconds(0);
+      })
 {
   std::filesystem::create_directory(mFolder.File("control.data"));
   WriteSettings("control", mSubnet + "1", true);
   WriteSettings("app", mSubnet + "2", false);
   mControl.emplace(StartDaemon("control"));
   mDaemon.emplace(StartDaemon("app"));
+  if (aHasPeer) {
+    WriteSettings("peer", mSubnet + "3", false);
+    mPeer.emplace(StartDaemon("peer"));
+  }
   ApplyTables();
 }
 
@@ -56,9 +68,12 @@
     return { { mIsHealthy ? kOk : 503U, std::move(headers) }, "" };
   }
   ++mRuns;
-  headers.push_back(
-    { "request-id",
-      std::string(http::FindHeader(aRequest.mHead.mHeaders, "request-id")) });
+  std::string id(http::FindHeader(aRequest.mHead.mHeaders, "request-id"));
+  {
+    std::scoped_lock const lock(mMutex);
+    mRunIds.insert(id);
+  }
+  headers.push_back({ "request-id", std::move(id) });
   headers.push_back({ "response-stamp", "1" });
   return { { kOk, std::move(headers) }, "" };
 }
@@ -132,33 +147,80 @@
         { "deadline-ms", "4000" } } },
     ""
   };
-  auto const response = Send(At("2", kOutboundPort), browse);
+  auto const response = Send(Callers(), browse);
   return response ? response->mHead.mStatus : 0;
 }
 
+std::string
+platform_mesh::HeartbeatBody(std::uint64_t aStart,
+                             std::string const& aState,
+                             std::string const& aSequence) const
+{
+  return R"({"Address":")" + mUpstream.Address() + R"(","born":)" +
+         std::to_string(aStart) +
+         R"(,"Info":{"Service":"catalogue","Version":"v1","Zone":"a",
+                "Slots":8},"Status":{"State":")" +
+         aState + R"(","Sequence":)" + aSequence + R"(,"ColdRemainingMs":0}})";
+}
+
 unsigned
 platform_mesh::Heartbeat(std::uint64_t aStart,
                          std::string const& aState,
                          std::string const& aSequence) const
 {
-  return Post("instances.heartbeat",
-              R"({"Address":")" + mUpstream.Address() + R"(","born":)" +
-                std::to_string(aStart) +
-                R"(,"Info":{"Service":"catalogue","Version":"v1","Zone":"a",
-                "Slots":8},"Status":{"State":")" +
-                aState + R"(","Sequence":)" + aSequence +
-                R"(,"ColdRemainingMs":0}})");
+  return Post("instances.heartbeat", HeartbeatBody(aStart, aState, aSequence));
+}
+
+unsigned
+platform_mesh::PeerHeartbeat()
+{
+  return PostTo("3",
+                "instances.heartbeat",
+                HeartbeatBody(1, "ready", std::to_string(++mPeerReports)));
 }
 
 unsigned
 platform_mesh::Post(std::string const& aCall, std::string const& aBody) const
+{
+  return PostTo("2", aCall, aBody);
+}
+
+unsigned
+platform_mesh::PostTo(std::string const& aIp,
+                      std::string const& aCall,
+                      std::string const& aBody) const
 {
   auto const response = Send(
-    At("2", kControlPort),
+    At(aIp, kControlPort),
     { { "POST", "/v1/rpc?call=" + aCall + "&of=" + kUpstreamId, {} }, aBody });
   return response ? response->mHead.mStatus : 0;
 }
 
+core::address
+platform_mesh::Callers() const
+{
+  return At("2", kOutboundPort);
+}
+
+bool
+platform_mesh::HasRun(std::string const& aId)
+{
+  std::scoped_lock const lock(mMutex);
+  return mRunIds.contains(aId);
+}
+
+void
+platform_mesh::StopDaemon()
+{
+  mDaemon->Signal(SIGTERM);
+}
+
+std::optional<int>
+platform_mesh::WaitForDaemonExit()
+{
+  return mDaemon->WaitForExit();
+}
+
 void
 platform_mesh::RestartDaemon()
 {
--- a/Tests/Support/FakeServer.h
+++ b/Tests/Support/FakeServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/Time.h"
 #include "LibHttp/Server.h"
 
 #include <thread>
@@ -12,9 +13,11 @@
 class fake_server
 {
 public:
-  /// aAnswer runs on that thread.
+  /// aAnswer runs on that thread for each request that was read completely; its
+  /// answer is sent after aDelay, if there is one.
   explicit fake_server(
-    std::function<http::response(http::request const&)> aAnswer);
+    std::function<http::response(http::request const&)> aAnswer,
+    std::function<core::duration(http::request const&)> aDelay = {});
   ~fake_server();
   fake_server(fake_server const&) = delete;
   fake_server& operator=(fake_server const&) = delete;
@@ -23,6 +26,7 @@
 
 private:
   std::function<http::response(http::request const&)> mAnswer;
+  std::function<core::duration(http::request const&)> mDelay;
   boost::asio::io_context mContext{ 1 };
   http::server mServer;
   std::thread mThread;
