Soak: Fill the disks of control replicas

The output of the daemons goes through a pipe, which the limit does not concern.

At the end of each run, the history of the control group is read: each acknowledged edit must be in it once. ChecksFindLostEdits shows that the check finds lost and repeated edits; EditsSurviveFailingDisks runs 30 s.

--- a/Tests/Daemon/TestSoak.cpp
+++ b/Tests/Daemon/TestSoak.cpp
@@ -28,10 +28,11 @@
 Observe(soak::request_record aRequest, std::vector<soak::run_record> aRuns)
 {
   return { { std::move(aRequest) },
-           { { "catalogue", kStart, kStart + 1s },
-             { "stock", kStart + 2s, kStart + 3s } },
+           { { "e1", "catalogue", kStart, kStart + 1s },
+             { "e2", "stock", kStart + 2s, kStart + 3s } },
            std::move(aRuns),
-           {} };
+           {},
+           std::vector<std::string>{ "e1", "e2" } };
 }
 
 std::size_t
@@ -40,6 +41,20 @@
   return soak::FindViolations(aSeen, {}).size();
 }
 
+void
+CheckRun(soak::run_settings const& aSettings)
+{
+  auto const report = soak::Run(aSettings);
+  for (auto const& line : report.mViolations) {
+    BOOST_ERROR(line);
+  }
+  if (!report.mViolations.empty()) {
+    BOOST_TEST_MESSAGE(report.mLogs);
+  }
+  BOOST_TEST(report.mServed > 0U);
+  BOOST_TEST(report.mAcknowledgedEdits > 1U);
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(Soak)
@@ -86,6 +101,24 @@
   BOOST_TEST(Count(disturbed) == 1U);
 }
 
+// Guards against a soak that misses acknowledged edits which are lost or have
+// taken effect twice.
+BOOST_AUTO_TEST_CASE(ChecksFindLostEdits)
+{
+  auto seen = Observe(Request(soak::request_kind::kMove, "stock"),
+                      { { "/path", "stock" } });
+  BOOST_TEST(Count(seen) == 0U);
+  seen.mHistory = { { "e1" } };
+  BOOST_TEST(Count(seen) == 1U);
+  seen.mHistory = { { "e1", "e2", "e2" } };
+  BOOST_TEST(Count(seen) == 1U);
+  seen.mHistory.reset();
+  BOOST_TEST(Count(seen) == 2U);
+  seen.mHistory = { { "e1" } };
+  seen.mEdits.back().mAcknowledged.reset();
+  BOOST_TEST(Count(seen) == 0U);
+}
+
 // Guards against promises that the programs break under faults from outside:
 // signals, restarts and addresses that pass to another service, overlapping.
 BOOST_AUTO_TEST_CASE(PromisesHoldUnderFaults)
@@ -94,16 +127,17 @@
   // With this seed, calls were run by another service whose instance had taken
   // over an address.
   settings.mSeed = 3;
-  settings.mLength = 30s;
-  auto const report = soak::Run(settings);
-  for (auto const& line : report.mViolations) {
-    BOOST_ERROR(line);
-  }
-  if (!report.mViolations.empty()) {
-    BOOST_TEST_MESSAGE(report.mLogs);
-  }
-  BOOST_TEST(report.mServed > 0U);
-  BOOST_TEST(report.mAcknowledgedEdits > 1U);
+  CheckRun(settings);
+}
+
+// Guards against edits that are lost, or that are never accepted again, when
+// the disks of control replicas are full, also when they are killed.
+BOOST_AUTO_TEST_CASE(EditsSurviveFailingDisks)
+{
+  soak::run_settings settings;
+  settings.mSeed = 1;
+  settings.mDisksFail = true;
+  CheckRun(settings);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Soak/Checks.cpp
+++ b/Tests/Soak/Checks.cpp
@@ -33,6 +33,9 @@
     for (auto const& request : mSeen.mRequests) {
       CheckRequest(request);
     }
+    for (auto const& edit : mSeen.mEdits) {
+      CheckHistory(edit);
+    }
     return std::move(mViolations);
   }
 
@@ -100,6 +103,19 @@
       });
   }
 
+  void CheckHistory(edit_record const& aEdit)
+  {
+    if (!mSeen.mHistory) {
+      Report("history_not_read", aEdit.mId, "");
+      return;
+    }
+    auto const& history = *mSeen.mHistory;
+    auto const count = std::count(history.begin(), history.end(), aEdit.mId);
+    if (count > 1 || (count == 0 && aEdit.mAcknowledged)) {
+      Report("edit_lost", aEdit.mId, "count=" + std::to_string(count));
+    }
+  }
+
   void CheckRun(run_record const& aRun)
   {
     auto const found = mRequests.find(aRun.mPath);
--- a/Tests/Soak/Checks.h
+++ b/Tests/Soak/Checks.h
@@ -48,6 +48,7 @@
 /// sent again until it is acknowledged.
 struct edit_record
 {
+  std::string mId;
   std::string mService;
   time_point mSent;
   std::optional<time_point> mAcknowledged;
@@ -79,6 +80,9 @@
   std::vector<edit_record> mEdits;
   std::vector<run_record> mRuns;
   std::map<std::string, std::vector<disturbance>> mDisturbances;
+  /// Ids of the edits in the history of the control group at the end; empty if
+  /// it could not be read.
+  std::optional<std::vector<std::string>> mHistory;
 };
 
 struct limits
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -24,6 +24,9 @@
                                                 kOrderService,
                                                 "stock" };
 
+/// What a full disk keeps of a new file.
+constexpr std::uint64_t kBytesOfNewFile = 10;
+
 std::string
 Quoted(std::string const& aText)
 {
@@ -131,8 +134,8 @@
   text += ", \"service\": " + Quoted(service);
   text += ", \"slots\": 20, \"connections\": 64 }";
   if (IsReplica(aMember)) {
-    auto const folder = mFolder.File("data-" + std::to_string(aMember));
-    text += ", \"control\": { \"data_folder\": " + Quoted(folder);
+    text +=
+      ", \"control\": { \"data_folder\": " + Quoted(DataFolderOf(aMember));
     text += ", \"initial_group\": [" + group + "] }";
   }
   return text + " }";
@@ -145,6 +148,28 @@
   return mFolder.File(NameOf(aMember) + "-" + service + ".journal");
 }
 
+std::string
+deployment::DataFolderOf(std::size_t aMember) const
+{
+  return mFolder.File("data-" + std::to_string(aMember));
+}
+
+void
+deployment::LeaveOnDisk(std::size_t aMember, std::uint64_t aBytes)
+{
+  std::error_code code;
+  auto const size =
+    std::filesystem::file_size(DataFolderOf(aMember) + "/journal", code);
+  mMembers.at(aMember).mDaemon->LimitFileSize((code ? 0 : size) + aBytes);
+}
+
+void
+deployment::SetDiskFull(std::size_t aMember, bool aIsFull)
+{
+  mMembers.at(aMember).mDaemon->LimitFileSize(
+    aIsFull ? std::optional(kBytesOfNewFile) : std::nullopt);
+}
+
 void
 deployment::StartDaemon(std::size_t aMember)
 {
@@ -153,14 +178,15 @@
   test_support::WriteFile(settings, SettingsOf(aMember));
   std::vector<std::string> flags{ "--settings", settings };
   if (IsReplica(aMember) && !started.mHasStarted) {
-    std::filesystem::create_directory(
-      mFolder.File("data-" + std::to_string(aMember)));
+    std::filesystem::create_directory(DataFolderOf(aMember));
     flags.emplace_back("--bootstrap_control");
   }
   started.mHasStarted = true;
   started.mDaemon.reset();
-  started.mDaemon.emplace(
-    "cranberryfold_daemon", flags, mFolder.File(NameOf(aMember) + ".log"));
+  started.mDaemon.emplace("cranberryfold_daemon",
+                          flags,
+                          mFolder.File(NameOf(aMember) + ".log"),
+                          test_support::output_path::kPipe);
 }
 
 void
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -35,6 +35,12 @@
   void StartUpstream(std::size_t aMember);
   void KillUpstream(std::size_t aMember);
 
+  /// Makes the disk of a replica take aBytes more in its journal.
+  void LeaveOnDisk(std::size_t aMember, std::uint64_t aBytes);
+  /// Makes the disk of a replica full, so that also a new file keeps only some
+  /// bytes, or ends that.
+  void SetDiskFull(std::size_t aMember, bool aIsFull);
+
   /// Kills the daemon and the upstream of a member.
   void Remove(std::size_t aMember);
   /// Starts the member's daemon and upstream again, as another service.
@@ -58,6 +64,7 @@
   core::address AddressOf(std::size_t aMember, std::size_t aOffset) const;
   std::string SettingsOf(std::size_t aMember) const;
   std::string JournalOf(std::size_t aMember) const;
+  std::string DataFolderOf(std::size_t aMember) const;
 
   test_support::temporary_folder mFolder;
   stand_in::port_reservation mPorts;
--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -16,12 +16,22 @@
 constexpr milliseconds kAddressReuseTime{ 2000 };
 /// A service keeps at least this many instances.
 constexpr std::size_t kLeastInstances = 2;
+/// Kinds of faults that concern processes, and with those of disks.
+constexpr std::uint64_t kProcessFaults = 6;
+constexpr std::uint64_t kAllFaults = 8;
+/// Time for which a disk that becomes full still keeps parts of writes.
+constexpr milliseconds kTimeOfPartialWrites{ 500 };
+/// Each record of a journal is longer.
+constexpr std::uint64_t kLeastRecordBytes = 20;
 
 }
 
-fault_injector::fault_injector(deployment& aDeployment, std::uint64_t aSeed)
+fault_injector::fault_injector(deployment& aDeployment,
+                               std::uint64_t aSeed,
+                               bool aDisksFail)
   : mDeployment(aDeployment)
   , mRandom(aSeed)
+  , mDisksFail(aDisksFail)
 {
 }
 
@@ -84,11 +94,14 @@
 void
 fault_injector::Begin()
 {
-  auto const member =
-    static_cast<std::size_t>(mRandom.Below(mDeployment.Size()));
+  auto member = static_cast<std::size_t>(mRandom.Below(mDeployment.Size()));
   // The number is drawn first, so that a seed names the same faults also when
   // one of them does not fit.
-  auto const kind = mRandom.Below(6);
+  auto const kind = mRandom.Below(mDisksFail ? kAllFaults : kProcessFaults);
+  if (kind >= kProcessFaults) {
+    // Only replicas have disks.
+    member %= kZones;
+  }
   bool const isBusy = mActive.contains(member) ||
                       (mDeployment.IsReplica(member) && IsReplicaDisturbed());
   if (isBusy) {
@@ -105,8 +118,12 @@
       return Hangup(member);
     case 4:
       return RestartUpstream(member);
-    default:
+    case 5:
       return Replace(member);
+    case 6:
+      return FillDisk(member);
+    default:
+      return KillOnFullDisk(member);
   }
 }
 
@@ -194,4 +211,34 @@
   });
 }
 
+void
+fault_injector::FillDisk(std::size_t aMember)
+{
+  // The next record of the journal is kept in part.
+  auto const time = Between(300, 4000);
+  mDeployment.LeaveOnDisk(aMember, mRandom.Below(kLeastRecordBytes));
+  auto const full = std::chrono::steady_clock::now() + kTimeOfPartialWrites;
+  Add(aMember, "disk_full", kTimeOfPartialWrites, [=, this] {
+    mDeployment.SetDiskFull(aMember, steady_clock::now() < full + time);
+    return steady_clock::now() >= full + time;
+  });
+}
+
+void
+fault_injector::KillOnFullDisk(std::size_t aMember)
+{
+  auto const time = Between(300, 4000);
+  mDeployment.SignalDaemon(aMember, SIGKILL);
+  mDeployment.StartDaemon(aMember);
+  mDeployment.SetDiskFull(aMember, true);
+  Add(aMember, "kill_on_full_disk", time, [this, aMember] {
+    mDeployment.SetDiskFull(aMember, false);
+    // It may have ended, as its files can't be opened on a full disk.
+    if (mDeployment.DaemonStatus(aMember)) {
+      mDeployment.StartDaemon(aMember);
+    }
+    return true;
+  });
+}
+
 }
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -15,7 +15,8 @@
 class fault_injector
 {
 public:
-  fault_injector(deployment& aDeployment, std::uint64_t aSeed);
+  /// aDisksFail adds faults of the replicas' disks.
+  fault_injector(deployment& aDeployment, std::uint64_t aSeed, bool aDisksFail);
 
   /// Begins and ends what is due.
   void Step();
@@ -51,10 +52,14 @@
   void Hangup(std::size_t aMember);
   void RestartUpstream(std::size_t aMember);
   void Replace(std::size_t aMember);
+  void FillDisk(std::size_t aMember);
+  /// Kills a replica and starts it again on a full disk.
+  void KillOnFullDisk(std::size_t aMember);
   void CheckProcesses();
 
   deployment& mDeployment;
   core::random_source mRandom;
+  bool mDisksFail;
   time_point mStart = std::chrono::steady_clock::now();
   time_point mNext = mStart;
   std::map<std::size_t, active_fault> mActive;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -12,6 +12,9 @@
 DEFINE_uint32(instances, 9, "Daemons, each beside an upstream.");
 DEFINE_uint32(callers, 6, "Callers, each with kept connections.");
 DEFINE_uint32(in_force_ms, 9000, "Time until an edit must be in force.");
+DEFINE_bool(failing_disks,
+            false,
+            "Disks of control replicas are full at times.");
 DEFINE_string(log_folder, "", "Folder for the logs of runs with violations.");
 
 /// Runs the soak by hand. Programs are taken from the folder CRANBERRYFOLD_BIN.
@@ -27,6 +30,7 @@
     settings.mLength = std::chrono::seconds(FLAGS_seconds);
     settings.mInstances = FLAGS_instances;
     settings.mCallers = FLAGS_callers;
+    settings.mDisksFail = FLAGS_failing_disks;
     settings.mLimits.mInForce = std::chrono::milliseconds(FLAGS_in_force_ms);
     soak::run_report report;
     try {
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -61,10 +61,11 @@
     mRequests.push_back(std::move(aRecord));
   }
 
-  void Begin(std::string aService)
+  void Begin(std::string aId, std::string aService)
   {
     std::scoped_lock const lock(mMutex);
-    mEdits.push_back({ std::move(aService), steady_clock::now(), {} });
+    mEdits.push_back(
+      { std::move(aId), std::move(aService), steady_clock::now(), {} });
   }
 
   void Acknowledge()
@@ -202,7 +203,7 @@
     ++mEdits;
     // An edit keeps its base when it is sent again, so that it is the same.
     mBase.reset();
-    mBook.Begin(aService);
+    mBook.Begin(EditId(), aService);
     while (!aIsStopped) {
       for (std::size_t replica = 0; replica < kZones; ++replica) {
         if (SendTo(replica, aService)) {
@@ -216,6 +217,8 @@
   }
 
 private:
+  std::string EditId() const { return "edit-" + std::to_string(mEdits); }
+
   milliseconds Pause()
   {
     return milliseconds(mRandom.Chance(0.5) ? mRandom.Below(800)
@@ -239,7 +242,7 @@
       return false;
     }
     http::request const edit{ { "POST", "/v1/edits", {} },
-                              R"({"edit_id":"edit-)" + std::to_string(mEdits) +
+                              R"({"edit_id":")" + EditId() +
                                 R"(","base_revision":)" +
                                 std::to_string(*mBase) + R"(,"tables":)" +
                                 Tables(aService) + "}" };
@@ -291,6 +294,42 @@
   });
 }
 
+/// Returns the ids of the edits in the history of a replica that knows the
+/// newest one, if one of them does in time.
+std::optional<std::vector<std::string>>
+ReadHistory(deployment const& aDeployment)
+{
+  std::vector<std::string> ids;
+  auto const read = [&](std::size_t aReplica) {
+    auto const address = aDeployment.Admin(aReplica);
+    // Only a replica that is sure to know the newest tables answers this.
+    auto const tables = test_support::Send(
+      address, { { "GET", "/v1/tables?current=true", {} }, "" });
+    auto const answer =
+      test_support::Send(address, { { "GET", "/v1/history", {} }, "" });
+    boost::json::error_code code;
+    auto const body =
+      answer ? boost::json::parse(answer->mBody, code) : boost::json::value();
+    if (!tables || tables->mHead.mStatus != kOk || code || !body.is_object()) {
+      return false;
+    }
+    ids.clear();
+    for (auto const& edit : body.at("edits").as_array()) {
+      ids.emplace_back(edit.at("edit_id").as_string());
+    }
+    return true;
+  };
+  bool const isRead = test_support::WaitUntil([&] {
+    for (std::size_t replica = 0; replica < kZones; ++replica) {
+      if (read(replica)) {
+        return true;
+      }
+    }
+    return false;
+  });
+  return isRead ? std::optional(std::move(ids)) : std::nullopt;
+}
+
 /// Returns the logs of the members that aViolations name or that have ended.
 std::string
 LogsOf(deployment const& aDeployment,
@@ -300,9 +339,12 @@
   std::string logs;
   for (std::size_t member = 0; member < aDeployment.Size(); ++member) {
     auto const name = "at=" + deployment::NameOf(member);
+    // A violation that names no instance is one of the control group.
     bool const isNamed = std::any_of(
       aViolations.begin(), aViolations.end(), [&](auto const& aLine) {
-        return aLine.find(name) != std::string::npos;
+        return aLine.find(name) != std::string::npos ||
+               (aLine.find("at=") == std::string::npos &&
+                aDeployment.IsReplica(member));
       });
     bool const hasEnded =
       std::find(aEnded.begin(), aEnded.end(), member) != aEnded.end();
@@ -335,7 +377,7 @@
     });
   }
   threads.emplace_back([&] { plans.Run(isStopped); });
-  fault_injector faults(processes, aSettings.mSeed);
+  fault_injector faults(processes, aSettings.mSeed, aSettings.mDisksFail);
   auto const end = steady_clock::now() + aSettings.mLength;
   while (steady_clock::now() < end) {
     faults.Step();
@@ -346,9 +388,11 @@
   for (auto& thread : threads) {
     thread.join();
   }
-  observations seen{
-    book.Requests(), book.Edits(), processes.Runs(), faults.Disturbances()
-  };
+  observations seen{ book.Requests(),
+                     book.Edits(),
+                     processes.Runs(),
+                     faults.Disturbances(),
+                     ReadHistory(processes) };
   std::erase_if(seen.mRuns, [](run_record const& aRun) {
     return aRun.mPath.ends_with("/ready");
   });
--- a/Tests/Soak/Run.h
+++ b/Tests/Soak/Run.h
@@ -16,6 +16,8 @@
   std::chrono::seconds mLength{ 30 };
   std::size_t mInstances = 9;
   std::size_t mCallers = 6;
+  /// Whether the disks of control replicas are full at times.
+  bool mDisksFail = false;
   limits mLimits;
 };
 
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -3,6 +3,7 @@
 #include "LibHttp/Client.h"
 #include "LibHttp/Pattern.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -16,6 +17,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -36,10 +38,28 @@
   return std::string(folder != nullptr ? folder : "build/bin") + "/" + aProgram;
 }
 
+/// Copies what is read from aFrom to aTo and closes both at its end.
+void
+CopyToEnd(int aFrom, int aTo)
+{
+  std::array<char, 4096> bytes{};
+  for (;;) {
+    auto const size = read(aFrom, bytes.data(), bytes.size());
+    if (size <= 0 ||
+        write(aTo, bytes.data(), static_cast<std::size_t>(size)) != size) {
+      break;
+    }
+  }
+  close(aFrom);
+  close(aTo);
+}
+
 /// Runs in the child only; uses nothing but async-signal-safe calls.
 [[noreturn]] void
 Execute(std::vector<char*> const& aArguments, int aOutput)
 {
+  // A write beyond the limit of a file's size then fails without a signal.
+  signal(SIGXFSZ, SIG_IGN);
   dup2(aOutput, STDOUT_FILENO);
   dup2(aOutput, STDERR_FILENO);
   execv(aArguments[0], aArguments.data());
@@ -93,7 +113,8 @@
 
 child_process::child_process(std::string const& aProgram,
                              std::vector<std::string> const& aArguments,
-                             std::string aOutputFile)
+                             std::string aOutputFile,
+                             output_path aOutputPath)
   : mOutputFile(std::move(aOutputFile))
 {
   std::vector<std::string> words{ ProgramPath(aProgram) };
@@ -104,8 +125,16 @@
     pointers.push_back(word.data());
   }
   pointers.push_back(nullptr);
-  int const output =
+  int output =
     open(mOutputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (aOutputPath == output_path::kPipe) {
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+      throw std::runtime_error("no pipe for the output of " + aProgram);
+    }
+    mOutputCopier = std::thread(CopyToEnd, ends[0], output);
+    output = ends[1];
+  }
   mId = fork();
   if (mId == 0) {
     Execute(pointers, output);
@@ -117,6 +146,7 @@
   : mId(std::exchange(aOther.mId, -1))
   , mStatus(aOther.mStatus)
   , mOutputFile(std::move(aOther.mOutputFile))
+  , mOutputCopier(std::move(aOther.mOutputCopier))
 {
 }
 
@@ -126,6 +156,9 @@
     kill(mId, SIGKILL);
     waitpid(mId, nullptr, 0);
   }
+  if (mOutputCopier.joinable()) {
+    mOutputCopier.join();
+  }
 }
 
 void
@@ -136,6 +169,18 @@
   }
 }
 
+void
+child_process::LimitFileSize(std::optional<std::uint64_t> aBytes) const
+{
+  if (mId <= 0 || mStatus) {
+    return;
+  }
+  rlimit limit{};
+  prlimit(mId, RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = aBytes ? *aBytes : limit.rlim_max;
+  prlimit(mId, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 std::optional<int>
 child_process::ExitStatus()
 {
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <sys/types.h>
@@ -21,6 +22,14 @@
 
 inline constexpr std::chrono::seconds kWaitLimit{ 120 };
 
+/// How the output of a child process gets to its file.
+enum class output_path
+{
+  kDirect,
+  /// Through a pipe, so that a limit for files does not concern it.
+  kPipe,
+};
+
 /// One child process. It is killed, by its id, at the end of its life.
 class child_process
 {
@@ -28,13 +37,18 @@
   /// Starts a program of CRANBERRYFOLD_BIN; its output goes to aOutputFile.
   child_process(std::string const& aProgram,
                 std::vector<std::string> const& aArguments,
-                std::string aOutputFile);
+                std::string aOutputFile,
+                output_path aOutputPath = output_path::kDirect);
   ~child_process();
   child_process(child_process&& aOther) noexcept;
   child_process& operator=(child_process&&) = delete;
 
   void Signal(int aSignal) const;
 
+  /// Makes writes fail that would extend a file beyond this size in bytes; what
+  /// fits is written. Nothing removes the limit.
+  void LimitFileSize(std::optional<std::uint64_t> aBytes) const;
+
   /// Returns the exit status as WaitForExit() does, without waiting.
   std::optional<int> ExitStatus();
 
@@ -49,6 +63,8 @@
   pid_t mId = -1;
   std::optional<int> mStatus;
   std::string mOutputFile;
+  /// Copies the output from the pipe to its file until the process has ended.
+  std::thread mOutputCopier;
 };
 
 /// A folder that is removed at the end of its life.
