LibMembership: Ignore other content of the present revision

The daemon ignores such a message and logs tables_conflict with the peer and the revision. What the own control replica has committed replaces content of the same revision that came from a peer, since only the control group decides.

--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -370,6 +370,14 @@
         .Field("revision", std::to_string(refused->mRevision.mValue));
       continue;
     }
+    if (auto const* const conflict =
+          std::get_if<membership::content_conflict>(&action)) {
+      core::LogError("tables_conflict")
+        .Field("peer", conflict->mPeer.mValue)
+        .Field("revision",
+               static_cast<std::int64_t>(conflict->mRevision.mValue));
+      continue;
+    }
     auto const& installed = std::get<membership::tables_installed>(action);
     core::LogInfo("tables_installed")
       .Field("revision", static_cast<std::int64_t>(installed.mRevision.mValue))
--- a/Libraries/LibMembership/ConfigurationDistributor.cpp
+++ b/Libraries/LibMembership/ConfigurationDistributor.cpp
@@ -168,8 +168,10 @@
 {
   auto const hash = tables::ContentHash(*aEvent.mTables);
   auto const before = mRevision;
-  AssertSameContent(aEvent.mRevision, hash);
-  if (aEvent.mRevision <= before) {
+  // What the control group has committed replaces other content of the same
+  // revision, which can only be a peer's mistake.
+  bool const isCorrection = aEvent.mRevision == before && hash != mHash;
+  if (aEvent.mRevision <= before && !isCorrection) {
     return;
   }
   table_delta delta{ aEvent.mRevision,
@@ -217,7 +219,9 @@
   mRequestExpires = mNow;
   auto const before = mRevision;
   for (auto const& delta : aMessage.mDeltas) {
-    AssertSameContent(delta.mRevision, delta.mHash);
+    if (IsConflicting(aFrom, delta.mRevision, delta.mHash)) {
+      return;
+    }
     bool const isNext = delta.mRevision.mValue == mRevision.mValue + 1;
     if (isNext && !ApplyDelta(aFrom, delta)) {
       // The same deltas would fail again, so the next request asks for a
@@ -246,7 +250,9 @@
                               configuration_digest const& aMessage)
 {
   mHasPeerDigest = true;
-  AssertSameContent(aMessage.mRevision, aMessage.mHash);
+  if (IsConflicting(aFrom, aMessage.mRevision, aMessage.mHash)) {
+    return;
+  }
   RecordRevision(aFrom, aMessage.mRevision);
   if (aMessage.mRevision > mRevision) {
     RequestFrom(aFrom);
@@ -283,11 +289,10 @@
   }
   mRequestExpires = mNow;
   bool const isIntact = tables::ContentHash(aMessage.mTables) == aMessage.mHash;
-  if (!isIntact) {
+  if (!isIntact || IsConflicting(aFrom, aMessage.mRevision, aMessage.mHash)) {
     return;
   }
   auto const before = mRevision;
-  AssertSameContent(aMessage.mRevision, aMessage.mHash);
   if (aMessage.mRevision <= before) {
     return;
   }
@@ -308,7 +313,9 @@
 void
 configuration_distributor::Install(tables_installed aInstalled)
 {
-  CF_ASSERT(aInstalled.mRevision > mRevision,
+  bool const isOfGroup = aInstalled.mSource == table_source::kReplica;
+  CF_ASSERT(aInstalled.mRevision > mRevision ||
+              (isOfGroup && aInstalled.mRevision == mRevision),
             "the active revision must not decrease");
   mRevision = aInstalled.mRevision;
   mHash = aInstalled.mHash;
@@ -448,13 +455,16 @@
   return { mRevision, mHash, *mTables, {} };
 }
 
-void
-configuration_distributor::AssertSameContent(core::revision aRevision,
-                                             std::uint64_t aHash) const
+bool
+configuration_distributor::IsConflicting(contact const& aFrom,
+                                         core::revision aRevision,
+                                         std::uint64_t aHash)
 {
-  CF_ASSERT(aRevision != mRevision || aHash == mHash,
-            "different contents for revision " +
-              std::to_string(aRevision.mValue));
+  bool const isConflict = aRevision == mRevision && aHash != mHash;
+  if (isConflict) {
+    mActions.emplace_back(content_conflict{ aFrom.mInstance, aRevision });
+  }
+  return isConflict;
 }
 
 void
--- a/Libraries/LibMembership/ConfigurationDistributor.h
+++ b/Libraries/LibMembership/ConfigurationDistributor.h
@@ -100,8 +100,18 @@
   core::revision mRevision;
 };
 
-using distributor_action = std::
-  variant<send_message, tables_installed, tables_outdated, revision_refused>;
+/// A peer has sent the own revision with other content. The message is ignored.
+struct content_conflict
+{
+  core::instance_id mPeer;
+  core::revision mRevision;
+};
+
+using distributor_action = std::variant<send_message,
+                                        tables_installed,
+                                        tables_outdated,
+                                        revision_refused,
+                                        content_conflict>;
 
 /// Handles the configuration messages of one daemon: push along the tree and
 /// anti-entropy. The active revision never decreases.
@@ -153,7 +163,11 @@
   void AppendToHistory(table_delta aDelta);
   bool HasDeltasAfter(core::revision aRevision) const;
   std::vector<table_delta> DeltasAfter(core::revision aRevision) const;
-  void AssertSameContent(core::revision aRevision, std::uint64_t aHash) const;
+  /// Returns whether a peer has sent the own revision with other content, and
+  /// reports this.
+  bool IsConflicting(contact const& aFrom,
+                     core::revision aRevision,
+                     std::uint64_t aHash);
 
   /// Whether no tables have been received yet.
   bool HasNoTables() const { return mRevision == core::revision{}; }
--- a/Tests/LibMembership/TestConfigurationDistributor.cpp
+++ b/Tests/LibMembership/TestConfigurationDistributor.cpp
@@ -107,6 +107,46 @@
   BOOST_TEST(distributor.Revision().mValue == 5U);
 }
 
+// Guards against daemons that abort, and end their callers' connections,
+// because one peer has sent the present revision with other content.
+BOOST_AUTO_TEST_CASE(OtherContentOfTheRevisionIsIgnored)
+{
+  auto distributor = Distributor();
+  distributor.Handle(kStart, From("x", Snapshot(5)));
+  auto const hash = distributor.Hash();
+  auto other = Snapshot(6);
+  other.mRevision = { 5 };
+  configuration_deltas deltas;
+  deltas.mDeltas.push_back({ { 5 }, other.mHash, {} });
+  for (configuration_message const& message :
+       { configuration_message(other),
+         configuration_message(
+           configuration_digest{ { 5 }, other.mHash, true }),
+         configuration_message(deltas) }) {
+    auto const actions = distributor.Handle(kStart, From("y", message));
+    BOOST_REQUIRE(actions.size() == 1U);
+    auto const* const conflict = std::get_if<content_conflict>(&actions[0]);
+    BOOST_REQUIRE(conflict != nullptr);
+    BOOST_TEST(conflict->mPeer.mValue == "y");
+    BOOST_TEST(distributor.Hash() == hash);
+  }
+  distributor.Handle(kStart, From("y", Snapshot(6)));
+  BOOST_TEST(distributor.Revision().mValue == 6U);
+}
+
+// Guards against a daemon that keeps a peer's content of a revision which its
+// own control replica has committed with other content.
+BOOST_AUTO_TEST_CASE(CommittedContentReplacesThatOfAPeer)
+{
+  auto distributor = Distributor();
+  auto other = Snapshot(6);
+  other.mRevision = { 5 };
+  distributor.Handle(kStart, From("x", other));
+  distributor.Handle(kStart, Commit(5));
+  BOOST_TEST(distributor.Revision().mValue == 5U);
+  BOOST_TEST(distributor.Hash() == tables::ContentHash(Tables(5)));
+}
+
 // Guards against an active revision that decreases when a control replica has
 // recovered from a failed journal with an older commit mark.
 BOOST_AUTO_TEST_CASE(OlderCommittedTablesAreIgnored)
