Tests: Keep the replica host's tests from waiting for the machine's disk

Cause, shown by a run: with a delay of 1 s or 2 s before each sync, the three tests with three replicas fail at SubmitUntilAccepted, without a leader; with 4 s, the two with one replica fail at the same check. With 0.6 s all pass. Elections take several syncs and time out after 1.5 s. That the machine's disk was as slow in those two runs was not recorded; syncs of 1.3 s had been measured beside large writes.

The tests are about recovery from refused and hanging writes, not about the speed of the machine's disk. A new hook leaves out the syncs themselves; the delays and errors that the tests inject before syncs stay, as do all checks and the bound of 60 s.

--- a/Libraries/LibControl/FileJournal.cpp
+++ b/Libraries/LibControl/FileJournal.cpp
@@ -305,7 +305,7 @@
   if (injectedError != 0) {
     return StorageError("sync_file", aPath, injectedError);
   }
-  if (::fsync(aDescriptor) != 0) {
+  if (!mHooks.mSkipsSync && ::fsync(aDescriptor) != 0) {
     return StorageError("sync_file", aPath, errno);
   }
   return {};
--- a/Libraries/LibControl/FileJournal.h
+++ b/Libraries/LibControl/FileJournal.h
@@ -15,6 +15,9 @@
 {
   std::function<int(std::string const& aPath, std::size_t aSize)> mBeforeWrite;
   std::function<int(std::string const& aPath)> mBeforeSync;
+  /// Leaves out the syncs themselves, for tests that would otherwise depend on
+  /// how busy the machine's disk is.
+  bool mSkipsSync = false;
 };
 
 /// Stores the state of one replica in the files `identity`, `snapshot` and
--- a/Tests/LibDaemon/TestReplicaHost.cpp
+++ b/Tests/LibDaemon/TestReplicaHost.cpp
@@ -184,6 +184,9 @@
                                      started.mHangUntil.wait();
                                      return EIO;
                                    } };
+    // No replica is elected while the machine's disk takes a second for each
+    // sync, which other processes can cause.
+    fileHooks.mSkipsSync = true;
     started.mHost = std::make_unique<replica_host>(
       mContext, started.mSettings, std::move(hooks), std::move(fileHooks));
     auto const outcome =
