LibDaemon: Do not end at a hangup that comes before signals are handled

A daemon that got SIGHUP between its start and the construction of its signal handlers ended with status 129; its instance served nobody until the next start.

Before a program has begun, a signal ends any process. The soak therefore sends hangups only to daemons that have written a line since their start. It does not excuse any end of a process.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -65,6 +65,12 @@
 
 }
 
+void
+IgnoreEarlyHangups()
+{
+  std::signal(SIGHUP, SIG_IGN);
+}
+
 mesh_daemon::mesh_daemon(daemon_settings aSettings, daemon_extension aExtension)
   : mSettings(std::move(aSettings))
   , mExtension(std::move(aExtension))
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -21,6 +21,12 @@
 /// callers, egress, operators and peers.
 namespace cranberryfold::daemon {
 
+/// Keeps a hangup from ending the process until a mesh_daemon handles signals.
+/// To be called first thing, before the settings are read, so that no change of
+/// them is missed.
+void
+IgnoreEarlyHangups();
+
 class mesh_daemon
 {
 public:
--- a/Services/Daemon/Main.cpp
+++ b/Services/Daemon/Main.cpp
@@ -52,6 +52,7 @@
 int
 main(int aArgumentCount, char** aArguments)
 {
+  daemon::IgnoreEarlyHangups();
   gflags::SetUsageMessage("--settings FILE");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
   if (!FLAGS_describe.empty()) {
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -183,12 +183,28 @@
   }
   started.mHasStarted = true;
   started.mDaemon.reset();
+  started.mLogBytes = LogBytesOf(aMember);
   started.mDaemon.emplace("cranberryfold_daemon",
                           flags,
                           mFolder.File(NameOf(aMember) + ".log"),
                           test_support::output_path::kPipe);
 }
 
+std::uintmax_t
+deployment::LogBytesOf(std::size_t aMember) const
+{
+  std::error_code code;
+  auto const size =
+    std::filesystem::file_size(mFolder.File(NameOf(aMember) + ".log"), code);
+  return code ? 0 : size;
+}
+
+bool
+deployment::HasBegun(std::size_t aMember) const
+{
+  return LogBytesOf(aMember) > mMembers.at(aMember).mLogBytes;
+}
+
 void
 deployment::SignalDaemon(std::size_t aMember, int aSignal)
 {
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -29,6 +29,9 @@
 
   void StartDaemon(std::size_t aMember);
   void SignalDaemon(std::size_t aMember, int aSignal);
+  /// Returns whether a daemon has written a line since it was started. Before,
+  /// its program may not have begun, and a signal ends any process.
+  bool HasBegun(std::size_t aMember) const;
   /// Returns the exit status of a daemon that has ended.
   std::optional<int> DaemonStatus(std::size_t aMember);
 
@@ -59,12 +62,15 @@
     std::optional<test_support::child_process> mUpstream;
     bool mIsRemoved = false;
     bool mHasStarted = false;
+    /// Size of the log at the last start of the daemon.
+    std::uintmax_t mLogBytes = 0;
   };
 
   core::address AddressOf(std::size_t aMember, std::size_t aOffset) const;
   std::string SettingsOf(std::size_t aMember) const;
   std::string JournalOf(std::size_t aMember) const;
   std::string DataFolderOf(std::size_t aMember) const;
+  std::uintmax_t LogBytesOf(std::size_t aMember) const;
 
   test_support::temporary_folder mFolder;
   stand_in::port_reservation mPorts;
--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -180,6 +180,9 @@
 void
 fault_injector::Hangup(std::size_t aMember)
 {
+  if (!mDeployment.HasBegun(aMember)) {
+    return;
+  }
   mDeployment.SignalDaemon(aMember, SIGHUP);
   Add(aMember, "hangup", milliseconds(0), [] { return true; });
 }
