LibDaemon: End late bodies only in the second half of a stop

The limit for late bodies began with the end of the time for callers. That time is 0 by default, so that a stop would have ended each upload in progress whose timeout is longer than the grace period, although most of the period was left.

LibDaemon/TrafficPolicy/ LateBodiesNeedADeadlineBeforeTheStop fails with the limit of (14 s into a period of 30 s) and passes now; Platform/PlannedStop passes.

--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -509,19 +509,13 @@
 }
 
 bool
-traffic_policy::HasDrainServeTimePassed(core::time_point aNow) const
+traffic_policy::IsRefusingCallers(core::time_point aNow) const
 {
   return mIsDraining &&
          aNow >= mDrainStarted +
                    std::chrono::milliseconds(mSettings.mDrainServeMilliseconds);
 }
 
-bool
-traffic_policy::IsRefusingCallers(core::time_point aNow) const
-{
-  return HasDrainServeTimePassed(aNow);
-}
-
 std::optional<core::time_point>
 traffic_policy::StopTime() const
 {
@@ -537,7 +531,14 @@
                                     core::time_point aDeadline) const
 {
   auto const stop = StopTime();
-  return !stop || !HasDrainServeTimePassed(aNow) || aDeadline <= *stop;
+  if (!stop) {
+    return true;
+  }
+  auto const firstHalf = (*stop - mDrainStarted) / 2;
+  core::duration const serveTime =
+    std::chrono::milliseconds(mSettings.mDrainServeMilliseconds);
+  bool const isEarly = aNow < mDrainStarted + std::max(firstHalf, serveTime);
+  return isEarly || aDeadline <= *stop;
 }
 
 bool
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -123,8 +123,9 @@
   /// Returns when a draining daemon stops; empty while it does not drain.
   std::optional<core::time_point> StopTime() const;
   /// Returns whether a request whose body is complete at aNow can be answered
-  /// before a draining daemon stops. Callers that were still served have sent
-  /// theirs in time; later ones must reach their deadline before the stop.
+  /// before a draining daemon stops. One that is complete in the first half of
+  /// the grace period, or while callers are served, has time enough; a later
+  /// one must reach its deadline before the stop.
   bool CanFinishBeforeStop(core::time_point aNow,
                            core::time_point aDeadline) const;
   /// Returns whether the daemon started so recently that it may still have to
@@ -218,7 +219,6 @@
   /// Returns whether the local upstream takes no new calls because it is about
   /// to stop.
   bool IsUpstreamLeaving() const;
-  bool HasDrainServeTimePassed(core::time_point aNow) const;
   void ConfigureAdmission(core::time_point aNow);
   /// Returns whether aTables give the calls of aPool to the local service.
   bool IsOwnPool(tables::table_set const& aTables,
--- a/Tests/LibDaemon/TestTrafficPolicy.cpp
+++ b/Tests/LibDaemon/TestTrafficPolicy.cpp
@@ -230,4 +230,24 @@
   BOOST_TEST((mPolicy.MatchPool(mNow, "orders") == pool_match::kOtherService));
 }
 
+// Guards against uploads that a stop ends although most of its grace period is
+// left, and against late ones that it cuts.
+BOOST_AUTO_TEST_CASE(LateBodiesNeedADeadlineBeforeTheStop)
+{
+  auto settings = MakeSettings();
+  settings.mDrainGraceMilliseconds = 30'000;
+  traffic_policy policy(settings, kStart, 1);
+  auto const later = kStart + 60s;
+  BOOST_TEST(policy.CanFinishBeforeStop(kStart, later));
+  policy.StartDraining(kStart);
+  BOOST_TEST(policy.CanFinishBeforeStop(kStart + 14s, later));
+  BOOST_TEST(!policy.CanFinishBeforeStop(kStart + 16s, later));
+  BOOST_TEST(policy.CanFinishBeforeStop(kStart + 16s, kStart + 29s));
+  settings.mDrainServeMilliseconds = 20'000;
+  traffic_policy serving(settings, kStart, 1);
+  serving.StartDraining(kStart);
+  BOOST_TEST(serving.CanFinishBeforeStop(kStart + 19s, later));
+  BOOST_TEST(!serving.CanFinishBeforeStop(kStart + 21s, later));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -46,7 +46,7 @@
   void Signal(int aSignal) const;
 
   /// Makes writes fail that would extend a file beyond this size in bytes; what
-  /// fits is written. Nothing removes the limit.
+  /// fits is written. Without a size, the limit is removed.
   void LimitFileSize(std::optional<std::uint64_t> aBytes) const;
 
   /// Returns the exit status as WaitForExit() does, without waiting.
