--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -28,8 +28,6 @@
 /// Interval at which a waiting call checks whether the daemon drains. Shorter
 /// than the time for which a draining daemon runs on.
 constexpr core::duration kStopCheckInterval = std::chrono::milliseconds(500);
-/// Suggested wait for callers whose request a draining daemon cannot finish.
-constexpr core::duration kDrainingRetryAfter = std::chrono::milliseconds(500);
 
 }
 
@@ -87,7 +85,7 @@
   if (IsBodyTooLate()) {
     co_return call_refusal{ outcome::kNotRun,
                             refusal_reason::kDraining,
-                            kDrainingRetryAfter };
+                            kNotReadyRetryAfter };
   }
   co_return std::nullopt;
 }
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -50,6 +50,10 @@
   std::function<task<bool>(std::string_view, bool)> mWriteChunk;
 };
 
+/// Suggested wait for callers while the daemon has no tables or drains.
+inline constexpr core::duration kNotReadyRetryAfter =
+  std::chrono::milliseconds(500);
+
 /// Lowest status that tells a failure of the upstream.
 inline constexpr std::uint32_t kFirstServerError = 500;
 
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -28,8 +28,6 @@
 constexpr auto kDiscardTimeout = 2s;
 /// Time for the response to a call whose deadline is limited by a stop.
 constexpr core::duration kLastResponseTime = 100ms;
-/// Suggested wait for callers while the daemon has no tables or drains.
-constexpr core::duration kNotReadyRetryAfter = 500ms;
 
 using request_parser = http::request_parser<http::buffer_body>;
 using response_message = http::response<http::buffer_body>;
