LibDaemon: Offer calls that were not run again to upstreams that were tried

Callers saw orders fail while a sound service refused every second call as not run: an order needs four calls of it in a row, and each was given up after its second refusal. extra_tries bounds the upstreams of a request and with them its runs, but a refusal as not run adds no run. A permit that was denied also used up a retry of the pool's allowance without an attempt.

Once the root daemon grants no further upstream, or the service has none, a call that was not run is offered again to those that it was sent to. The pool's allowance bounds these offers as any retry, and ten attempts those of one call. A retry whose permit is denied is given back.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -107,13 +107,20 @@
                                {} } };
     }
     auto choice = mServices.mPolicy.ChooseUpstream(
-      Now(), mRequest.mContext, mRequest.mPool, mTriedInstances);
+      Now(), mRequest.mContext, mRequest.mPool, mTriedInstances, mScope);
     call_result result;
     if (auto const* const refused = std::get_if<call_refusal>(&choice)) {
       if (MustWaitForStart(*refused)) {
         co_await mSignal.Wait(Now() + kStartPollInterval);
         continue;
       }
+      bool const hasNoFurtherUpstream =
+        refused->mReason == refusal_reason::kNoUpstream &&
+        mScope == traffic::attempt_scope::kUntried;
+      if (hasNoFurtherUpstream && mCanOfferAgain) {
+        mScope = traffic::attempt_scope::kTried;
+        continue;
+      }
       result.mRefusal = *refused;
       mServices.mMetrics.CountRefusal(refusal_place::kSender, refused->mReason);
     } else {
@@ -175,6 +182,7 @@
   facts.mNow = Now();
   facts.mTimeLeft = mRequest.mContext.mDeadline - facts.mNow;
   facts.mLevel = traffic::ShedLevel(traffic::ShedPosition(mRequest.mContext));
+  mCanOfferAgain = false;
   if (traffic::IsTransparentRetry(facts) &&
       mTransparentRetries < kMaximumTransparentRetries) {
     ++mTransparentRetries;
@@ -192,13 +200,15 @@
     LogRetry(decision->mReason, false);
     co_return false;
   }
-  if (!co_await ObtainRetryPermit()) {
+  if (!co_await WidenScope(facts)) {
+    mServices.mPolicy.ReturnRetry(Now(), mRequest.mPool, facts.mLevel);
     mServices.mMetrics.CountRetry(retry_reason::kRefusedNoPermit);
     LogRetry(retry_reason::kRefusedNoPermit, false);
     co_return false;
   }
   mServices.mMetrics.CountRetry(decision->mReason);
   LogRetry(decision->mReason, true);
+  mCanOfferAgain = traffic::CanOfferAgain(facts);
   mRequest.mContext.mIsRepeat = true;
   asio::steady_timer backoff(mServices.mExecutor, *decision->mBackoff);
   co_await backoff.async_wait(kAsTuple);
@@ -206,6 +216,19 @@
   co_return !mIsAbandoned;
 }
 
+task<bool>
+call_runner::WidenScope(traffic::retry_facts const& aFacts)
+{
+  if (mScope == traffic::attempt_scope::kUntried) {
+    bool const isGranted = co_await ObtainRetryPermit();
+    if (isGranted) {
+      co_return true;
+    }
+  }
+  mScope = traffic::attempt_scope::kTried;
+  co_return traffic::CanOfferAgain(aFacts);
+}
+
 task<bool>
 call_runner::ObtainRetryPermit()
 {
@@ -261,7 +284,9 @@
 call_runner::Attempt(traffic::chosen_upstream const& aChosen)
 {
   ++mAttempts;
-  mTriedInstances.push_back(aChosen.mInstance);
+  if (mScope == traffic::attempt_scope::kUntried) {
+    mTriedInstances.push_back(aChosen.mInstance);
+  }
   mBodyEndSent = !mRequest.mHasBody;
   mLastLoadStatus.reset();
   mLastHttpStatus = 0;
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -124,6 +124,9 @@
                           outgoing_stream const& aStream,
                           call_response_chunk const& aChunk);
   task<bool> PrepareRetry(call_refusal const& aRefusal);
+  /// Requests a further upstream for a retry. Without one, the retry is limited
+  /// to the upstreams that were tried. Returns whether it can be made.
+  task<bool> WidenScope(traffic::retry_facts const& aFacts);
   task<bool> ObtainRetryPermit();
   task<bool> RequestPermitFromRoot();
   void SendBody(call_link& aLink, outgoing_stream& aStream);
@@ -146,6 +149,10 @@
   std::vector<core::instance_id> mTriedInstances;
   std::uint32_t mAttempts = 0;
   std::uint32_t mTransparentRetries = 0;
+  /// Becomes kTried when the root daemon grants no further upstream.
+  traffic::attempt_scope mScope = traffic::attempt_scope::kUntried;
+  /// Whether the present retry may go to an upstream that was tried.
+  bool mCanOfferAgain = false;
   bool mIsAbandoned = false;
   bool mBodyEndSent = false;
   /// The body was completed too late for the call to be finished before the
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -570,7 +570,8 @@
 traffic_policy::ChooseUpstream(core::time_point aNow,
                                traffic::call_context const& aContext,
                                std::string const& aPool,
-                               std::vector<core::instance_id> const& aTried)
+                               std::vector<core::instance_id> const& aTried,
+                               traffic::attempt_scope aScope)
 {
   std::scoped_lock const lock(mMutex);
   auto* const pool = FindPool(aPool);
@@ -588,7 +589,7 @@
   if (!aContext.mParent.IsEmpty() && aTried.empty()) {
     RecordCallee(aContext.mParent, { aPool, aContext.mRoute });
   }
-  auto const choice = pool->mSelector.Select(aNow, aContext, aTried);
+  auto const choice = pool->mSelector.Select(aNow, aContext, aTried, aScope);
   if (auto const* const refused =
         std::get_if<traffic::local_refusal>(&choice)) {
     return call_refusal{ outcome::kNotRun,
@@ -622,6 +623,17 @@
   return traffic::DecideRetry(aFacts, pool->mRetryRatio, mRandom);
 }
 
+void
+traffic_policy::ReturnRetry(core::time_point aNow,
+                            std::string const& aPool,
+                            std::uint32_t aLevel)
+{
+  std::scoped_lock const lock(mMutex);
+  if (auto* const pool = FindPool(aPool)) {
+    pool->mRetryRatio.Return(aNow, aLevel);
+  }
+}
+
 void
 traffic_policy::OpenRetryBudget(core::time_point aNow,
                                 traffic::call_context const& aContext,
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -146,13 +146,15 @@
     core::request_id const& aRequest) const;
 
   /// Selects the upstream for an attempt. aTried lists the instances of earlier
-  /// attempts of the same call. The caller must follow each selected upstream
-  /// by exactly one ReportAttempt().
+  /// attempts of the same call; aScope tells whether one of them must be
+  /// chosen. The caller must follow each selected upstream by exactly one
+  /// ReportAttempt().
   std::variant<traffic::chosen_upstream, call_refusal> ChooseUpstream(
     core::time_point aNow,
     traffic::call_context const& aContext,
     std::string const& aPool,
-    std::vector<core::instance_id> const& aTried);
+    std::vector<core::instance_id> const& aTried,
+    traffic::attempt_scope aScope = traffic::attempt_scope::kUntried);
   void ReportAttempt(core::time_point aNow,
                      std::string const& aPool,
                      traffic::attempt_report const& aReport);
@@ -163,6 +165,10 @@
   std::optional<traffic::retry_decision> DecideRetry(
     std::string const& aPool,
     traffic::retry_facts aFacts);
+  /// Gives back the retry of a positive DecideRetry() that is not made.
+  void ReturnRetry(core::time_point aNow,
+                   std::string const& aPool,
+                   std::uint32_t aLevel);
   /// Opens or closes the retry budget of a caller's request at its root daemon.
   void OpenRetryBudget(core::time_point aNow,
                        traffic::call_context const& aContext,
--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -15,6 +15,9 @@
 constexpr core::duration kFirstBackoff{ 10'000 };
 constexpr core::duration kMaximumBackoff{ 500'000 };
 constexpr std::uint32_t kMaximumDoublings = 6;
+/// Attempts of one call. With half of all offers refused at random, one call in
+/// a thousand is still refused after ten.
+constexpr std::uint32_t kMaximumOffers = 10;
 
 retry_reason
 AllowedReason(retry_facts const& aFacts)
@@ -229,6 +232,20 @@
   return true;
 }
 
+void
+retry_ratio::Return(core::time_point aNow, std::uint32_t aLevel)
+{
+  auto& taken = BucketAt(aNow).mLevels.at(aLevel).mTaken;
+  taken -= std::min(taken, 1U);
+}
+
+bool
+CanOfferAgain(retry_facts const& aFacts)
+{
+  return aFacts.mOutcome == outcome::kNotRun &&
+         aFacts.mAttempts < kMaximumOffers;
+}
+
 bool
 IsTransparentRetry(retry_facts const& aFacts)
 {
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -101,6 +101,9 @@
   /// levels.
   bool Take(core::time_point aNow, std::uint32_t aLevel);
 
+  /// Gives back a retry that was taken and not made.
+  void Return(core::time_point aNow, std::uint32_t aLevel);
+
   /// Returns whether nothing was counted within the time that decisions look
   /// back on.
   bool IsIdle(core::time_point aNow) const;
@@ -176,6 +179,13 @@
 bool
 IsTransparentRetry(retry_facts const& aFacts);
 
+/// Returns whether a call for which the root daemon grants no further upstream
+/// may be offered once more to one that it was sent to. Limits on the upstreams
+/// of a call bound the runs that follow from it; an upstream that refused it as
+/// not run has added none.
+bool
+CanOfferAgain(retry_facts const& aFacts);
+
 /// Decides on a further attempt, except for the permit, which is requested from
 /// the root daemon if mBackoff is set. Takes a retry from aRatio if one is
 /// possible. Returns nullopt if a retry makes no sense: the call ran, or would
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -68,7 +68,8 @@
 selection
 upstream_selector::Select(core::time_point aNow,
                           call_context const& aContext,
-                          std::vector<core::instance_id> const& aTried)
+                          std::vector<core::instance_id> const& aTried,
+                          attempt_scope aScope)
 {
   auto const position = ShedPosition(aContext, mMechanisms.mShedRules);
   // Reported thresholds may be outdated, so they refuse only new work here; for
@@ -80,7 +81,7 @@
   if (isShedDownstream) {
     return MakeRefusal(true);
   }
-  auto usable = Classify(aNow, aContext, aTried);
+  auto usable = Classify(aNow, aContext, aTried, aScope);
   if (IsInPanicMode(aNow)) {
     usable.mAccepting.insert(
       usable.mAccepting.end(), usable.mAvoided.begin(), usable.mAvoided.end());
@@ -204,14 +205,16 @@
 bool
 upstream_selector::IsUsable(core::time_point aNow,
                             upstream const& aUpstream,
-                            std::vector<core::instance_id> const& aTried) const
+                            std::vector<core::instance_id> const& aTried,
+                            attempt_scope aScope) const
 {
   if (aUpstream.mCandidate.mDraining || aUpstream.mHealth.IsDraining(aNow)) {
     return false;
   }
-  return std::find(aTried.begin(),
-                   aTried.end(),
-                   aUpstream.mCandidate.mInstance) == aTried.end();
+  bool const wasTried =
+    std::find(aTried.begin(), aTried.end(), aUpstream.mCandidate.mInstance) !=
+    aTried.end();
+  return wasTried == (aScope == attempt_scope::kTried);
 }
 
 /// Panic mode: when more than half of the pool seems to have failed, the sender
@@ -229,13 +232,14 @@
 upstream_selector::classified_upstreams
 upstream_selector::Classify(core::time_point aNow,
                             call_context const& aContext,
-                            std::vector<core::instance_id> const& aTried)
+                            std::vector<core::instance_id> const& aTried,
+                            attempt_scope aScope)
 {
   auto const position = ShedPosition(aContext, mMechanisms.mShedRules);
   classified_upstreams classified;
   for (auto& [id, entry] : mUpstreams) {
     if (!IsWithinSpillScope(Distance(entry.mCandidate)) ||
-        !IsUsable(aNow, entry, aTried)) {
+        !IsUsable(aNow, entry, aTried, aScope)) {
       continue;
     }
     if (mMechanisms.mSenderThreshold &&
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -52,6 +52,14 @@
   bool operator==(chosen_upstream const&) const = default;
 };
 
+/// Which upstreams an attempt may use, by the earlier attempts of its call.
+enum class attempt_scope
+{
+  kUntried,
+  /// Offers the call again to an upstream that has refused it as not run.
+  kTried,
+};
+
 /// The call was not sent to any upstream, so it was not run.
 struct local_refusal
 {
@@ -88,11 +96,13 @@
   /// pool with the same incarnation keep their health.
   void Configure(tables::pool const& aPool, std::vector<candidate> aCandidates);
 
-  /// Chooses an upstream that is not in aTried, the upstreams of earlier
-  /// attempts of the same call, and counts the attempt as in flight.
+  /// Chooses an upstream and counts the attempt as in flight. aTried lists the
+  /// upstreams of earlier attempts of the same call; aScope tells whether the
+  /// upstream must be one of them or must not.
   selection Select(core::time_point aNow,
                    call_context const& aContext,
-                   std::vector<core::instance_id> const& aTried);
+                   std::vector<core::instance_id> const& aTried,
+                   attempt_scope aScope = attempt_scope::kUntried);
 
   /// Returns whether, according to recent load statuses, every usable upstream
   /// would refuse the call.
@@ -156,7 +166,8 @@
   bool IsWithinSpillScope(int aDistance) const;
   bool IsUsable(core::time_point aNow,
                 upstream const& aUpstream,
-                std::vector<core::instance_id> const& aTried) const;
+                std::vector<core::instance_id> const& aTried,
+                attempt_scope aScope = attempt_scope::kUntried) const;
   bool IsInPanicMode(core::time_point aNow) const;
   /// Removes an attempt. Returns the upstream that it was started at, or null
   /// if that has left the pool since.
@@ -168,7 +179,8 @@
   /// Classifies the usable upstreams within the spill scope.
   classified_upstreams Classify(core::time_point aNow,
                                 call_context const& aContext,
-                                std::vector<core::instance_id> const& aTried);
+                                std::vector<core::instance_id> const& aTried,
+                                attempt_scope aScope);
   chosen_upstream Choose(core::time_point aNow,
                          std::string const& aRoute,
                          upstreams const& aFrom);
--- a/Tests/Daemon/TestUpstreamResponses.cpp
+++ b/Tests/Daemon/TestUpstreamResponses.cpp
@@ -174,6 +174,24 @@
   BOOST_TEST(IsNotRun(SendUntilReceived(kDeposit)));
 }
 
+// Guards against giving up a call that has not run because its service has no
+// further upstream.
+BOOST_AUTO_TEST_CASE(CallThatWasNotRunIsOfferedAgain)
+{
+  std::atomic<bool> isRefusing = false;
+  Start([&](scripted_request const& aRequest) {
+    return scripted_answer{ isRefusing.exchange(false)
+                              ? RefusalOf(IdOf(aRequest))
+                              : kOk };
+  });
+  BOOST_TEST(WaitUntil([&] { return IsSuccess(SendToStock(kRead)); }));
+  auto const before = mServer->Requests();
+  isRefusing = true;
+  BOOST_TEST(IsSuccess(SendToStock(kDeposit)));
+  BOOST_TEST(!isRefusing);
+  BOOST_TEST(mServer->Requests() == before + 2);
+}
+
 // Guards against using a connection again on which more than the response has
 // arrived.
 BOOST_AUTO_TEST_CASE(ConnectionWithSurplusBytesIsNotReused)
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -208,6 +208,31 @@
   BOOST_TEST(!ratio.Take(later, 0));
 }
 
+// Guards against retries that count although they were never made.
+BOOST_AUTO_TEST_CASE(ReturnedRetriesCanBeTakenAgain)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio({ 10 });
+  BOOST_TEST(ratio.Take(kStart, kHighest));
+  BOOST_TEST(!ratio.Take(kStart, kHighest));
+  ratio.Return(kStart, kHighest);
+  BOOST_TEST(ratio.Take(kStart, kHighest));
+  ratio.Return(kStart, 0);
+  BOOST_TEST(!ratio.Take(kStart, kHighest));
+}
+
+// Guards against further upstreams, and with them further runs, for a call that
+// may have run, and against endless offers.
+BOOST_AUTO_TEST_CASE(OnlyCallsThatWereNotRunAreOfferedAgain)
+{
+  auto facts = Facts(outcome::kNotRun, false);
+  BOOST_TEST(CanOfferAgain(facts));
+  facts.mAttempts = 10;
+  BOOST_TEST(!CanOfferAgain(facts));
+  BOOST_TEST(!CanOfferAgain(Facts(outcome::kUnknown, true)));
+  BOOST_TEST(!CanOfferAgain(Facts(outcome::kRan, true)));
+}
+
 // Guards against more retries than the upstreams accept if the window of their
 // allowance is shorter than the default.
 BOOST_AUTO_TEST_CASE(TheWindowFollowsTheAllowance)
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -112,6 +112,24 @@
 
 BOOST_AUTO_TEST_SUITE(UpstreamSelection)
 
+// Guards against offering a call again to an upstream beyond those that it may
+// be sent to.
+BOOST_AUTO_TEST_CASE(OffersAgainStayWithinTheTriedUpstreams)
+{
+  fixture run;
+  auto const select = [&](std::vector<core::instance_id> const& aTried) {
+    return run.mSelector.Select(
+      run.mNow, run.mContext, aTried, attempt_scope::kTried);
+  };
+  for (int count = 0; count < 20; ++count) {
+    auto const selected = select({ { "far" }, { "middle" } });
+    auto const* const chosen = std::get_if<chosen_upstream>(&selected);
+    BOOST_TEST_REQUIRE(chosen != nullptr);
+    BOOST_TEST(chosen->mInstance.mValue != "near");
+  }
+  BOOST_TEST(std::holds_alternative<local_refusal>(select({ { "gone" } })));
+}
+
 // Guards against charged traffic between regions while near upstreams work.
 BOOST_AUTO_TEST_CASE(NearestIsChosenAndFarBytesAreCounted)
 {
