LibTraffic: Keep retries for what higher levels will request

In an outage catalogue reads took most retries of the first seconds, since orders had not requested theirs yet, and orders went without in the later ones. A lower level now gets only what is left after the requests that higher levels would make in a whole window at their rate of the last second. A light fault leaves enough for all levels, as before.

LowerLevelsGetWhatHigherOnesHaveNotRequested expected the rest of the allowance to be free in the same moment in which a higher level took nine of eleven retries. That is the fault itself; it now expects none then, and the same two, no third, once the demand has ended.

--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -18,6 +18,9 @@
 /// Attempts of one call. With half of all offers refused at random, one call in
 /// a thousand is still refused after ten.
 constexpr std::uint32_t kMaximumOffers = 10;
+/// Buckets over which the present demand for retries is measured: a second, for
+/// a window of ten.
+constexpr std::int64_t kDemandBuckets = 2;
 
 retry_reason
 AllowedReason(retry_facts const& aFacts)
@@ -195,6 +198,22 @@
   return calls;
 }
 
+double
+retry_ratio::ExpectedDemandAbove(std::uint32_t aLevel,
+                                 std::int64_t aPresentBucket) const
+{
+  std::uint32_t requested = 0;
+  for (auto const& entry : mBuckets) {
+    bool const isPresent = entry.mNumber > aPresentBucket - kDemandBuckets &&
+                           entry.mNumber <= aPresentBucket;
+    for (auto level = aLevel + 1; isPresent && level < entry.mLevels.size();
+         ++level) {
+      requested += entry.mLevels.at(level).mRequested;
+    }
+  }
+  return static_cast<double>(requested) * kBuckets / kDemandBuckets;
+}
+
 bool
 retry_ratio::Take(core::time_point aNow, std::uint32_t aLevel)
 {
@@ -222,7 +241,7 @@
   auto const part =
     kLowestLevelShare + (1 - kLowestLevelShare) * aLevel / levels;
   bool const fits =
-    taken + 1 <= allowed &&
+    taken + 1 + ExpectedDemandAbove(aLevel, sum.mNumber) <= allowed &&
     takenUpToLevel + 1 <= share * part + mAllowance.mSlackRepeats &&
     takenUpToLevel + 1 <= allowed - requestedAbove;
   if (!fits) {
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -97,8 +97,8 @@
 
   /// Takes one retry for a call of shedding level aLevel; returns false if none
   /// is available. A lower level gets what higher levels have not requested in
-  /// the window, and leaves a part of the allowance to later requests of higher
-  /// levels.
+  /// the window and, at their present rate of requests, will not request in a
+  /// whole one: an outage outlasts its first retries.
   bool Take(core::time_point aNow, std::uint32_t aLevel);
 
   /// Gives back a retry that was taken and not made.
@@ -140,6 +140,10 @@
   /// aPresentBucket.
   std::uint32_t CallsOfWindow(std::int64_t aPresentBucket,
                               std::int64_t aBucketsAgo) const;
+  /// Returns the retries that levels above aLevel would request in a whole
+  /// window at their present rate.
+  double ExpectedDemandAbove(std::uint32_t aLevel,
+                             std::int64_t aPresentBucket) const;
 
   retry_allowance mAllowance;
   /// Ring buffer of two windows.
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -196,10 +196,13 @@
   for (int requested = 0; requested < 9; ++requested) {
     BOOST_TEST(ratio.Take(kStart, kHighest));
   }
-  // Two of eleven retries are left; the higher level requested 9.
-  BOOST_TEST(ratio.Take(kStart, 0));
-  BOOST_TEST(ratio.Take(kStart, 0));
+  // Two of eleven retries are left; the higher level requested 9. They are kept
+  // for it while it goes on requesting.
   BOOST_TEST(!ratio.Take(kStart, 0));
+  auto const calm = kStart + std::chrono::seconds(1);
+  BOOST_TEST(ratio.Take(calm, 0));
+  BOOST_TEST(ratio.Take(calm, 0));
+  BOOST_TEST(!ratio.Take(calm, 0));
   auto const later = kStart + retry_allowance{}.mWindow / 2;
   CountCalls(ratio, later, 100);
   for (int requested = 0; requested < 12; ++requested) {
@@ -208,6 +211,29 @@
   BOOST_TEST(!ratio.Take(later, 0));
 }
 
+// Guards against an outage whose first second leaves no retries for the orders
+// of its later seconds.
+BOOST_AUTO_TEST_CASE(LowerLevelsLeaveWhatHigherOnesWillRequest)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio({ 10 });
+  CountCalls(ratio, kStart, 1000);
+  for (int requested = 0; requested < 11; ++requested) {
+    BOOST_TEST(ratio.Take(kStart, kHighest));
+  }
+  // Eleven a second are 110 in a window, more than the 101 retries.
+  BOOST_TEST(!ratio.Take(kStart, 0));
+  // A light fault leaves enough for all levels.
+  retry_ratio light({ 10 });
+  CountCalls(light, kStart, 1000);
+  BOOST_TEST(light.Take(kStart, kHighest));
+  int taken = 0;
+  while (light.Take(kStart, 0)) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 51);
+}
+
 // Guards against retries that count although they were never made.
 BOOST_AUTO_TEST_CASE(ReturnedRetriesCanBeTakenAgain)
 {
