docs: Describe what extra_tries bounds

The text of the setting and the design said tries; calls that were not run may be offered again within the same upstreams since, so that the number bounds upstreams. Only texts change.

--- a/Libraries/LibTables/TableText.cpp
+++ b/Libraries/LibTables/TableText.cpp
@@ -314,7 +314,8 @@
                  row.mExtraTries,
                  kExtraTriesRange,
                  kOptional,
-                 "Further tries, at all depths together.");
+                 "Further upstreams that calls of the request may be sent "
+                 "to, at all depths together.");
   row.mMethods.insert(methods.begin(), methods.end());
   return row;
 }
--- a/Libraries/LibTables/Tables.h
+++ b/Libraries/LibTables/Tables.h
@@ -134,8 +134,9 @@
   /// Target response time, within which a response is worth most; 0 means the
   /// timeout.
   std::uint32_t mObjectiveMilliseconds = 0;
-  /// Maximum number of retries for a whole customer request, at all call depths
-  /// together.
+  /// Maximum number of further upstreams for a whole customer request, at all
+  /// call depths together. Calls that were not run may be offered again to
+  /// upstreams that they were sent to.
   std::uint32_t mExtraTries = 3;
 
   auto operator<=>(route const&) const = default;
