LibDaemon: Name what selects the upstreams of a retry

The former name, WidenScope, said the opposite of what it does without a permit. States why its await is a statement of its own. No change of behaviour; found when reading the change as a newcomer.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -200,7 +200,7 @@
     LogRetry(decision->mReason, false);
     co_return false;
   }
-  if (!co_await WidenScope(facts)) {
+  if (!co_await SelectRetryScope(facts)) {
     mServices.mPolicy.ReturnRetry(Now(), mRequest.mPool, facts.mLevel);
     mServices.mMetrics.CountRetry(retry_reason::kRefusedNoPermit);
     LogRetry(retry_reason::kRefusedNoPermit, false);
@@ -217,9 +217,10 @@
 }
 
 task<bool>
-call_runner::WidenScope(traffic::retry_facts const& aFacts)
+call_runner::SelectRetryScope(traffic::retry_facts const& aFacts)
 {
   if (mScope == traffic::attempt_scope::kUntried) {
+    // GCC 12 mistranslates co_await behind &&, so that this is a statement.
     bool const isGranted = co_await ObtainRetryPermit();
     if (isGranted) {
       co_return true;
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -126,7 +126,7 @@
   task<bool> PrepareRetry(call_refusal const& aRefusal);
   /// Requests a further upstream for a retry. Without one, the retry is limited
   /// to the upstreams that were tried. Returns whether it can be made.
-  task<bool> WidenScope(traffic::retry_facts const& aFacts);
+  task<bool> SelectRetryScope(traffic::retry_facts const& aFacts);
   task<bool> ObtainRetryPermit();
   task<bool> RequestPermitFromRoot();
   void SendBody(call_link& aLink, outgoing_stream& aStream);
