LibTraffic: Offer again only what an upstream itself has refused

Calls that daemons refused because of their queue or threshold were offered again too, up to ten times, and used up retries of the pool without reaching an upstream. The rule is meant for sound upstreams that refuse at random; a daemon without room is no such case.

OnlyCallsThatWereNotRunAreOfferedAgain has the case queue_full, which failed before.

--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -262,6 +262,7 @@
 CanOfferAgain(retry_facts const& aFacts)
 {
   return aFacts.mOutcome == outcome::kNotRun &&
+         aFacts.mRefusal == core::refusal_reason::kUpstreamRefused &&
          aFacts.mAttempts < kMaximumOffers;
 }
 
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -186,7 +186,8 @@
 /// Returns whether a call for which the root daemon grants no further upstream
 /// may be offered once more to one that it was sent to. Limits on the upstreams
 /// of a call bound the runs that follow from it; an upstream that refused it as
-/// not run has added none.
+/// not run has added none. What a daemon has refused is not offered again: its
+/// threshold and queue tell that there is no room.
 bool
 CanOfferAgain(retry_facts const& aFacts);
 
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -248,11 +248,16 @@
 }
 
 // Guards against further upstreams, and with them further runs, for a call that
-// may have run, and against endless offers.
+// may have run, against endless offers, and against retries that are used up at
+// daemons without room.
 BOOST_AUTO_TEST_CASE(OnlyCallsThatWereNotRunAreOfferedAgain)
 {
   auto facts = Facts(outcome::kNotRun, false);
+  facts.mRefusal = refusal_reason::kUpstreamRefused;
   BOOST_TEST(CanOfferAgain(facts));
+  facts.mRefusal = refusal_reason::kQueueFull;
+  BOOST_TEST(!CanOfferAgain(facts));
+  facts.mRefusal = refusal_reason::kUpstreamRefused;
   facts.mAttempts = 10;
   BOOST_TEST(!CanOfferAgain(facts));
   BOOST_TEST(!CanOfferAgain(Facts(outcome::kUnknown, true)));
