LibTraffic: Reserve retries only while upstreams fail the calls

In an overload daemons refuse by class already, and retries kept for higher levels stayed unused there. The reservation also counted what higher levels had taken beside what they are expected to request, so that in a long moderate outage lower levels got too little.

Now only retries after a refusal or a break by an upstream count as expected demand, and the larger of it and of what was requested is kept. RetryBudget/RefusalsByDaemonsReserveNoRetries is new and cannot be written without the change.

--- a/Libraries/LibTraffic/RetryBudget.cpp
+++ b/Libraries/LibTraffic/RetryBudget.cpp
@@ -50,6 +50,15 @@
   }
 }
 
+retry_origin
+OriginOf(retry_facts const& aFacts)
+{
+  bool const isRefusedByDaemon =
+    aFacts.mOutcome == outcome::kNotRun &&
+    aFacts.mRefusal != core::refusal_reason::kUpstreamRefused;
+  return isRefusedByDaemon ? retry_origin::kDaemon : retry_origin::kUpstream;
+}
+
 /// Full jitter, so that the retries of a burst are spread over time.
 core::duration
 Backoff(std::uint32_t aAttempts, core::random_source& aRandom)
@@ -208,20 +217,23 @@
                            entry.mNumber <= aPresentBucket;
     for (auto level = aLevel + 1; isPresent && level < entry.mLevels.size();
          ++level) {
-      requested += entry.mLevels.at(level).mRequested;
+      requested += entry.mLevels.at(level).mFailedByUpstream;
     }
   }
   return static_cast<double>(requested) * kBuckets / kDemandBuckets;
 }
 
 bool
-retry_ratio::Take(core::time_point aNow, std::uint32_t aLevel)
+retry_ratio::Take(core::time_point aNow,
+                  std::uint32_t aLevel,
+                  retry_origin aOrigin)
 {
   if (mAllowance.mPercent == 0) {
     return false;
   }
   auto& ownLevel = BucketAt(aNow).mLevels.at(aLevel);
   ++ownLevel.mRequested;
+  ownLevel.mFailedByUpstream += aOrigin == retry_origin::kUpstream ? 1 : 0;
   auto const sum = Sum(aNow);
   double takenUpToLevel = sum.mUnrequested;
   double requestedAbove = 0;
@@ -235,15 +247,17 @@
       requestedAbove += counts.mRequested;
     }
   }
+  auto const demandAbove =
+    std::max(requestedAbove, ExpectedDemandAbove(aLevel, sum.mNumber));
   auto const share = sum.mCalls * mAllowance.mPercent / kPercent;
   auto const allowed = share + mAllowance.mSlackRepeats;
   auto const levels = static_cast<double>(tables::kShedLevels) - 1;
   auto const part =
     kLowestLevelShare + (1 - kLowestLevelShare) * aLevel / levels;
   bool const fits =
-    taken + 1 + ExpectedDemandAbove(aLevel, sum.mNumber) <= allowed &&
+    taken + 1 <= allowed &&
     takenUpToLevel + 1 <= share * part + mAllowance.mSlackRepeats &&
-    takenUpToLevel + 1 <= allowed - requestedAbove;
+    takenUpToLevel + 1 + demandAbove <= allowed;
   if (!fits) {
     return false;
   }
@@ -293,7 +307,7 @@
   if (backoff + aFacts.mUsualLatency >= aFacts.mTimeLeft) {
     return retry_decision{ retry_reason::kRefusedDeadline, std::nullopt };
   }
-  if (!aRatio.Take(aFacts.mNow, aFacts.mLevel)) {
+  if (!aRatio.Take(aFacts.mNow, aFacts.mLevel, OriginOf(aFacts))) {
     return retry_decision{ retry_reason::kRefusedRatio, std::nullopt };
   }
   return retry_decision{ AllowedReason(aFacts), backoff };
--- a/Libraries/LibTraffic/RetryBudget.h
+++ b/Libraries/LibTraffic/RetryBudget.h
@@ -76,6 +76,15 @@
   bool operator==(retry_allowance const&) const = default;
 };
 
+/// Who ended the attempt that a retry follows.
+enum class retry_origin : std::uint8_t
+{
+  /// The upstream refused the call or broke off.
+  kUpstream,
+  /// A daemon refused the call; its threshold keeps the order of levels.
+  kDaemon,
+};
+
 /// Limits the retries of one daemon at one pool to a share of its calls within
 /// a sliding window. All daemons together then stay within that share of all
 /// calls without exchanging messages. If the preceding window had more calls,
@@ -97,9 +106,11 @@
 
   /// Takes one retry for a call of shedding level aLevel; returns false if none
   /// is available. A lower level gets what higher levels have not requested in
-  /// the window and, at their present rate of requests, will not request in a
-  /// whole one: an outage outlasts its first retries.
-  bool Take(core::time_point aNow, std::uint32_t aLevel);
+  /// the window and, while upstreams fail their calls, will not request in a
+  /// whole one at the present rate: an outage outlasts its first retries.
+  bool Take(core::time_point aNow,
+            std::uint32_t aLevel,
+            retry_origin aOrigin = retry_origin::kUpstream);
 
   /// Gives back a retry that was taken and not made.
   void Return(core::time_point aNow, std::uint32_t aLevel);
@@ -116,6 +127,8 @@
   struct level_counts
   {
     std::uint32_t mRequested = 0;
+    /// Requests of origin kUpstream.
+    std::uint32_t mFailedByUpstream = 0;
     std::uint32_t mTaken = 0;
   };
 
@@ -140,8 +153,8 @@
   /// aPresentBucket.
   std::uint32_t CallsOfWindow(std::int64_t aPresentBucket,
                               std::int64_t aBucketsAgo) const;
-  /// Returns the retries that levels above aLevel would request in a whole
-  /// window at their present rate.
+  /// Returns the retries of origin kUpstream that levels above aLevel would
+  /// request in a whole window at their present rate.
   double ExpectedDemandAbove(std::uint32_t aLevel,
                              std::int64_t aPresentBucket) const;
 
--- a/Tests/LibTraffic/TestRetryBudget.cpp
+++ b/Tests/LibTraffic/TestRetryBudget.cpp
@@ -234,6 +234,19 @@
   BOOST_TEST(taken == 51);
 }
 
+// Guards against retries of lower levels that are held back under overload,
+// where thresholds keep the order of levels already.
+BOOST_AUTO_TEST_CASE(RefusalsByDaemonsReserveNoRetries)
+{
+  constexpr std::uint32_t kHighest = tables::kShedLevels - 1;
+  retry_ratio ratio({ 10 });
+  CountCalls(ratio, kStart, 1000);
+  for (int requested = 0; requested < 11; ++requested) {
+    BOOST_TEST(ratio.Take(kStart, kHighest, retry_origin::kDaemon));
+  }
+  BOOST_TEST(ratio.Take(kStart, 0, retry_origin::kDaemon));
+}
+
 // Guards against retries that count although they were never made.
 BOOST_AUTO_TEST_CASE(ReturnedRetriesCanBeTakenAgain)
 {
