LibDaemon: Offer calls again only where an upstream has refused them

Once no further upstream was granted, a call could go to an instance whose daemon had refused it before without passing it on. Its upstream would have been a further one, beyond extra_tries.

The instances of a call's attempts are a value of their own now (attempt_history), which tells those that were tried from those whose upstream refused. UpstreamSelection/OnlyUpstreamsThatRefusedAreOfferedTheCallAgain.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -106,8 +106,11 @@
                                refusal_reason::kClaimUnavailable,
                                {} } };
     }
-    auto choice = mServices.mPolicy.ChooseUpstream(
-      Now(), mRequest.mContext, mRequest.mPool, mTriedInstances, mScope);
+    auto choice = mServices.mPolicy.ChooseUpstream(Now(),
+                                                   mRequest.mContext,
+                                                   mRequest.mPool,
+                                                   mHistory.Instances(mScope),
+                                                   mScope);
     call_result result;
     if (auto const* const refused = std::get_if<call_refusal>(&choice)) {
       if (MustWaitForStart(*refused)) {
@@ -285,9 +288,7 @@
 call_runner::Attempt(traffic::chosen_upstream const& aChosen)
 {
   ++mAttempts;
-  if (mScope == traffic::attempt_scope::kUntried) {
-    mTriedInstances.push_back(aChosen.mInstance);
-  }
+  mHistory.RecordStart(aChosen.mInstance);
   mBodyEndSent = !mRequest.mHasBody;
   mLastLoadStatus.reset();
   mLastHttpStatus = 0;
@@ -306,6 +307,7 @@
   }
   auto const outcomeOfAttempt =
     result.mIsComplete ? outcome::kRan : result.mRefusal.mOutcome;
+  mHistory.RecordEnd(outcomeOfAttempt, result.mRefusal.mReason);
   mServices.mMetrics.CountAttempt(outcomeOfAttempt, Now() - started);
   traffic::attempt_report report;
   report.mAttempt = aChosen.mAttempt;
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -146,7 +146,7 @@
   signal mSignal;
   request_body mBody;
   std::function<void()> mOnBodyConsumed;
-  std::vector<core::instance_id> mTriedInstances;
+  traffic::attempt_history mHistory;
   std::uint32_t mAttempts = 0;
   std::uint32_t mTransparentRetries = 0;
   /// Becomes kTried when the root daemon grants no further upstream.
--- a/Libraries/LibTraffic/UpstreamSelection.cpp
+++ b/Libraries/LibTraffic/UpstreamSelection.cpp
@@ -35,6 +35,28 @@
 
 }
 
+void
+attempt_history::RecordStart(core::instance_id aInstance)
+{
+  mLast = std::move(aInstance);
+  mTried.push_back(mLast);
+}
+
+void
+attempt_history::RecordEnd(outcome aOutcome, refusal_reason aReason)
+{
+  if (aOutcome == outcome::kNotRun &&
+      aReason == refusal_reason::kUpstreamRefused) {
+    mRefusedByUpstream.push_back(mLast);
+  }
+}
+
+std::vector<core::instance_id> const&
+attempt_history::Instances(attempt_scope aScope) const
+{
+  return aScope == attempt_scope::kTried ? mRefusedByUpstream : mTried;
+}
+
 upstream_selector::upstream_selector(location aHere,
                                      core::random_source& aRandom,
                                      selection_mechanisms aMechanisms)
--- a/Libraries/LibTraffic/UpstreamSelection.h
+++ b/Libraries/LibTraffic/UpstreamSelection.h
@@ -60,6 +60,25 @@
   kTried,
 };
 
+/// The instances of the attempts of one call.
+class attempt_history
+{
+public:
+  void RecordStart(core::instance_id aInstance);
+  /// Records how the last started attempt ended.
+  void RecordEnd(outcome aOutcome, core::refusal_reason aReason);
+
+  /// Returns the instances that an attempt of this scope must avoid (kUntried)
+  /// or choose from (kTried). The latter are those whose upstream has refused
+  /// the call: one whose daemon refused it would be a further upstream.
+  std::vector<core::instance_id> const& Instances(attempt_scope aScope) const;
+
+private:
+  std::vector<core::instance_id> mTried;
+  std::vector<core::instance_id> mRefusedByUpstream;
+  core::instance_id mLast;
+};
+
 /// The call was not sent to any upstream, so it was not run.
 struct local_refusal
 {
--- a/Tests/LibTraffic/TestUpstreamSelection.cpp
+++ b/Tests/LibTraffic/TestUpstreamSelection.cpp
@@ -130,6 +130,25 @@
   BOOST_TEST(std::holds_alternative<local_refusal>(select({ { "gone" } })));
 }
 
+// Guards against a further upstream in place of an offer again: a daemon that
+// refused the call has kept it from its upstream.
+BOOST_AUTO_TEST_CASE(OnlyUpstreamsThatRefusedAreOfferedTheCallAgain)
+{
+  attempt_history history;
+  history.RecordStart({ "near" });
+  history.RecordEnd(outcome::kNotRun, refusal_reason::kQueueFull);
+  history.RecordStart({ "middle" });
+  history.RecordEnd(outcome::kNotRun, refusal_reason::kUpstreamRefused);
+  history.RecordStart({ "far" });
+  history.RecordEnd(outcome::kUnknown, refusal_reason::kUpstreamLost);
+  std::vector<core::instance_id> const refusing{ { "middle" } };
+  std::vector<core::instance_id> const tried{ { "near" },
+                                              { "middle" },
+                                              { "far" } };
+  BOOST_TEST((history.Instances(attempt_scope::kTried) == refusing));
+  BOOST_TEST((history.Instances(attempt_scope::kUntried) == tried));
+}
+
 // Guards against charged traffic between regions while near upstreams work.
 BOOST_AUTO_TEST_CASE(NearestIsChosenAndFarBytesAreCounted)
 {
