--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 # run. TROUBLE=0 leaves the disruption out. Needs the build of the deploy file
 # and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/big_headers
+program=target/review-2/poisoned_upload
 [ -x "$program" ] && [ -x target/bin/cranberryfold_node ] || exit 2
 timeout --signal=KILL 118 "$program" > review/10/record.txt 2>&1
 status=$?
--- a/review/stand_in_2/harness.cpp
+++ b/review/stand_in_2/harness.cpp
@@ -111,6 +111,38 @@
   }
 }
 
+/// Sends aBytes and reads what arrives meanwhile. Returns false if not all
+/// could be sent.
+bool
+SendAndRead(int aSocket,
+            std::string_view aBytes,
+            std::string& aBuffer,
+            std::int64_t aUntil)
+{
+  while (!aBytes.empty() && NowMs() < aUntil) {
+    pollfd entry{ aSocket, POLLIN | POLLOUT, 0 };
+    if (poll(&entry, 1, 100) <= 0) {
+      continue;
+    }
+    if ((entry.revents & POLLIN) != 0) {
+      char bytes[16384];
+      auto const size = recv(aSocket, bytes, sizeof bytes, MSG_DONTWAIT);
+      if (size <= 0) {
+        return false;
+      }
+      aBuffer.append(bytes, static_cast<std::size_t>(size));
+    } else {
+      auto const size = send(
+        aSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (size < 0) {
+        return false;
+      }
+      aBytes.remove_prefix(static_cast<std::size_t>(size));
+    }
+  }
+  return aBytes.empty();
+}
+
 /// Parses start line and headers from aText, which ends before the empty line.
 message
 ParseHead(std::string const& aText)
@@ -220,6 +252,16 @@
   return duration_cast<milliseconds>(steady_clock::now() - kStarted).count();
 }
 
+std::string
+LongAnswer(std::size_t aBytes)
+{
+  std::string text(aBytes, '.');
+  for (std::size_t index = 0; index < aBytes; ++index) {
+    text[index] = static_cast<char>('a' + index % 26);
+  }
+  return text;
+}
+
 std::uint64_t
 Hash(std::string_view aBytes)
 {
@@ -328,7 +370,8 @@
         isOpen = ReadMore(connection, buffer, until + 1);
       }
     }
-    if (!isOpen || !buffer.empty() || !SendAll(connection, entry.mBytes)) {
+    if (!isOpen || !buffer.empty() ||
+        !SendAndRead(connection, entry.mBytes, buffer, started + aTimeoutMs)) {
       break;
     }
   }
@@ -476,6 +519,9 @@
     respond(503, echo + "Not-Executed: 1\r\nConnection: close\r\n");
     return false;
   }
+  if (mEarlyAnswerBytes > 0 && request.mStart.starts_with("POST")) {
+    return AnswerEarly(aSocket, aBuffer, request, echo, aGeneration);
+  }
   auto const budget = request.Header("deadline-ms");
   auto const until =
     NowMs() + (budget.empty() ? kIdleMs : std::atoll(budget.c_str()));
@@ -501,8 +547,39 @@
   return respond(200, echo + "Response-Stamp: " + id.substr(0, 4) + ".1\r\n");
 }
 
+bool
+backend::AnswerEarly(int aSocket,
+                     std::string& aBuffer,
+                     message& aRequest,
+                     std::string const& aEcho,
+                     std::uint64_t aGeneration)
+{
+  constexpr std::int64_t kBeforeCrashMs = 500;
+  constexpr std::int64_t kReadMs = 20'000;
+  auto const head =
+    "HTTP/1.1 200 OK\r\n" + aEcho + "Response-Stamp: s1\r\n\r\n";
+  auto const answer = LongAnswer(mEarlyAnswerBytes);
+  auto const half = answer.substr(0, answer.size() / 2);
+  if (!SendAll(aSocket, head + half)) {
+    return false;
+  }
+  if (mCrashesInAnswer) {
+    SleepMs(kBeforeCrashMs);
+    // What the process had not read makes the kernel reset the connection.
+    linger const now{ 1, 0 };
+    setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    Crash(aGeneration, aSocket);
+    return false;
+  }
+  if (!SendAll(aSocket, answer.substr(half.size()))) {
+    return false;
+  }
+  ReadBody(aSocket, aBuffer, aRequest, NowMs() + kReadMs);
+  return false;
+}
+
 void
-backend::Crash(std::uint64_t aGeneration)
+backend::Crash(std::uint64_t aGeneration, int aReset)
 {
   {
     std::scoped_lock const lock(mMutex);
@@ -513,7 +590,9 @@
     ++mCrashes;
     close(mListener);
     for (auto const& [number, generation] : mSockets) {
-      BreakOff(number);
+      if (number != aReset) {
+        BreakOff(number);
+      }
     }
   }
   Record("server " + mIp + " ends");
--- a/review/stand_in_2/harness.h
+++ b/review/stand_in_2/harness.h
@@ -70,7 +70,12 @@
   std::string Describe() const;
 };
 
-/// Sends a request on a new connection and reads its response.
+/// Content of an answer without a length.
+std::string
+LongAnswer(std::size_t aBytes);
+
+/// Sends a request on a new connection and reads its response, also while it
+/// is still sending.
 outcome
 Exchange(std::string const& aIp,
          std::uint16_t aPort,
@@ -122,6 +127,11 @@
   /// Of so many requests in a hundred, the server says that it is full and does
   /// not run them.
   std::atomic<int> mShedPercent{ 0 };
+  /// If not 0, uploads get an answer of so many bytes without a length, before
+  /// their bodies have been read. The answer ends with the connection.
+  std::size_t mEarlyAnswerBytes = 0;
+  /// Whether the server crashes in the middle of such an answer.
+  bool mCrashesInAnswer = false;
   /// Called as soon as the head of a request has arrived.
   std::function<void(run const&)> mOnHead;
 
@@ -131,8 +141,14 @@
   void Listen();
   void Accept(int aListener, std::uint64_t aGeneration);
   void Serve(int aSocket, std::uint64_t aGeneration);
+  bool AnswerEarly(int aSocket,
+                   std::string& aBuffer,
+                   message& aRequest,
+                   std::string const& aEcho,
+                   std::uint64_t aGeneration);
   bool ServeOne(int aSocket, std::string& aBuffer, std::uint64_t aGeneration);
-  void Crash(std::uint64_t aGeneration);
+  /// The caller closes the connection aReset.
+  void Crash(std::uint64_t aGeneration, int aReset = -1);
   void Heartbeats();
   int SendHeartbeat();
   bool IsCurrent(std::uint64_t aGeneration) const;
