--- a/review/stand_in_2/harness.cpp
+++ b/review/stand_in_2/harness.cpp
@@ -19,6 +19,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -508,7 +509,7 @@
                    "Instance-Id: " + instance + "\r\n");
   }
   auto const id = request.Header("request-id");
-  run entry{ id, path, NowMs(), 0, instance, 0 };
+  run entry{ id, path, NowMs(), 0, instance, 0, {} };
   if (mOnHead) {
     mOnHead(entry);
   }
@@ -525,6 +526,14 @@
   auto const budget = request.Header("deadline-ms");
   auto const until =
     NowMs() + (budget.empty() ? kIdleMs : std::atoll(budget.c_str()));
+  bool const answersFirst = mAnswersFirst && method == "POST";
+  auto const success = echo + "Response-Stamp: " + id.substr(0, 4) + ".1\r\n";
+  if (answersFirst) {
+    SleepMs(mWorkMs);
+  }
+  if (answersFirst && !respond(200, success)) {
+    return false;
+  }
   if (!ReadBody(aSocket, aBuffer, request, until)) {
     return false;
   }
@@ -533,6 +542,13 @@
   }
   entry.mBodyBytes = request.mBody.size();
   entry.mBodyHash = Hash(request.mBody);
+  constexpr std::string_view kIdHeader = "\r\nRequest-Id: ";
+  auto const foreign = request.mBody.find(kIdHeader);
+  if (foreign != std::string::npos) {
+    auto const start = foreign + kIdHeader.size();
+    entry.mForeignId =
+      request.mBody.substr(start, request.mBody.find('\r', start) - start);
+  }
   {
     std::scoped_lock const lock(mMutex);
     mRuns.push_back(entry);
@@ -541,10 +557,13 @@
     Crash(aGeneration);
     return false;
   }
+  if (answersFirst) {
+    return true;
+  }
   ++mRunning;
   SleepMs(mWorkMs);
   --mRunning;
-  return respond(200, echo + "Response-Stamp: " + id.substr(0, 4) + ".1\r\n");
+  return respond(200, success);
 }
 
 bool
@@ -661,6 +680,11 @@
 deployment::deployment(std::vector<member> const& aMembers)
   : mMembers(aMembers)
 {
+  // Clients and servers of a case are sockets of this process.
+  rlimit descriptors{};
+  getrlimit(RLIMIT_NOFILE, &descriptors);
+  descriptors.rlim_cur = descriptors.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &descriptors);
   char folder[] = "/tmp/cranberryfold-review-XXXXXX";
   if (mkdtemp(folder) == nullptr) {
     Finish(2, "no temporary folder");
--- a/review/stand_in_2/harness.h
+++ b/review/stand_in_2/harness.h
@@ -102,6 +102,8 @@
     std::size_t mBodyBytes = 0;
     std::string mInstance;
     std::uint64_t mBodyHash = 0;
+    /// The id of another request that stands in the body; empty if none does.
+    std::string mForeignId;
   };
 
   backend(std::string aIp, std::string aZone, std::string aService);
@@ -127,6 +129,9 @@
   /// Of so many requests in a hundred, the server says that it is full and does
   /// not run them.
   std::atomic<int> mShedPercent{ 0 };
+  /// The server answers a request with a body before it has read the body,
+  /// keeps the connection and reads on.
+  std::atomic<bool> mAnswersFirst{ false };
   /// If not 0, uploads get an answer of so many bytes without a length, before
   /// their bodies have been read. The answer ends with the connection.
   std::size_t mEarlyAnswerBytes = 0;
