Tests: Wait for the tables of the mesh and not for their revision

The mesh of the daemon tests waited until the stock daemon showed revision 1. The log of the order daemon shows both edits: the claim map was proposed 4 s after the election and was in force 14 s later, together with the tables. Why that took 14 s, such as a slow disk, was not measured.

It waits for the pool that only the tables of the test have.

--- a/Tests/Daemon/Mesh.cpp
+++ b/Tests/Daemon/Mesh.cpp
@@ -213,7 +213,7 @@
     return ready && ready->mHead.mStatus == 200 && members && tables &&
            members->mBody.find("\"service\":\"stock\",\"state\":\"serving\"") !=
              std::string::npos &&
-           tables->mBody.find("\"revision\":1") != std::string::npos;
+           tables->mBody.find("\"name\":\"stock\"") != std::string::npos;
   });
 }
 
