LibDaemon, LibHttp: Take a response that was reset during an upload for cut off

The kernel reports a reset to one operation only. The write of the upload got it and its error was dropped; the read that followed got the end of the stream, which completes a response without a length. LibHttp's client, which reads after it has written, dropped the error of its write in the same way.

The error of a failed write is kept now. A response that ends with its connection counts as cut off after such an error, so that the caller's connection is closed before the last chunk. A broken pipe is no such error: Linux returns it as the first error where the peer had closed its side in order before the reset, and then all of the response has arrived.

Daemon/UpstreamResponses/ResetDuringAnUploadIsNotWhole failed before for PUT and POST, with and without "connection: close" (4 of 4), and LibHttp/Client/ResetDuringAnUploadIsNotWhole for both kinds of heads.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Hash.h"
 #include "LibCore/Log.h"
 #include "LibDaemon/HttpFields.h"
+#include "LibHttp/ResponseChecks.h"
 
 #include <algorithm>
 #include <array>
@@ -478,6 +479,7 @@
         aConnection->mStream, http::make_chunk_last(), kAsTuple);
     }
     if (code) {
+      mSendError = code;
       co_return;
     }
     if (chunk.mLast) {
@@ -549,6 +551,12 @@
     if (code && code != http::error::need_buffer) {
       co_return FailureFromError(code);
     }
+    if (aParser.is_done()) {
+      bool const wasCutOff = co_await WasCutOff(aParser);
+      if (wasCutOff) {
+        co_return FailureFromError(asio::error::connection_reset);
+      }
+    }
     auto const size = limit - aParser.get().body().size;
     mResponseCredit -= size;
     mChannel->Send(call_response_chunk{ mHead.mStream,
@@ -559,6 +567,17 @@
   co_return std::nullopt;
 }
 
+task<bool>
+incoming_call::WasCutOff(response_parser const& aParser)
+{
+  if (!aParser.need_eof()) {
+    co_return false;
+  }
+  // The error of a write that failed before may still wait to be delivered.
+  co_await asio::post(mServices.mExecutor, asio::use_awaitable);
+  co_return cranberryfold::http::WasConnectionLost(mSendError);
+}
+
 void
 incoming_call::SendRefusal(call_refusal const& aRefusal)
 {
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -75,6 +75,9 @@
   task<std::optional<call_refusal>> ForwardResponseBody(
     upstream_connection& aConnection,
     response_parser& aParser);
+  /// Returns whether a response that ends with its connection was cut off by a
+  /// reset.
+  task<bool> WasCutOff(response_parser const& aParser);
   /// Checks that the call is meant for the service of the local upstream. The
   /// sender may not know yet that the address has passed to this instance.
   task<admission_decision> CheckService();
@@ -107,6 +110,8 @@
   membership::upstream_id mUpstreamId;
   std::optional<core::duration> mKeepAlive;
   bool mIsBodySent = false;
+  /// Why the body of the request could not be sent to its end.
+  boost::system::error_code mSendError;
   bool mIsCancelled = false;
 };
 
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,6 +1,7 @@
 #include "LibHttp/Client.h"
 
 #include "LibHttp/Beast.h"
+#include "LibHttp/ResponseChecks.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -168,7 +169,9 @@
   // A server may refuse and close before it has read the whole body, so the
   // response is read even after a failed write.
   auto const readCode = co_await mState->Read(parser, aSink);
-  if (readCode) {
+  bool const isCutOff = parser.is_header_done() && parser.need_eof() &&
+                        WasConnectionLost(writeCode);
+  if (readCode || isCutOff) {
     Close();
     auto const step = parser.is_header_done() ? "read_body" : "read_response";
     auto const code = writeCode ? writeCode : readCode;
--- a/Tests/Daemon/TestUpstreamResponses.cpp
+++ b/Tests/Daemon/TestUpstreamResponses.cpp
@@ -1,17 +1,13 @@
-#include "Daemon/Mesh.h"
-#include "Support/ScriptedServer.h"
-
-#include <csignal>
+#include "Daemon/ScriptedStock.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace cranberryfold;
 using namespace cranberryfold::test_support;
+using namespace std::chrono_literals;
 
 namespace {
 
-constexpr auto kOk = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-
 std::string
 Refusal(std::string const& aHeaders)
 {
@@ -39,45 +35,34 @@
                                        "x-cranberryfold-outcome") == "not_run";
 }
 
-/// Returns whether the caller got a response that looks successful and whole.
-bool
-IsSuccess(core::attempt<http::response> const& aResponse)
-{
-  return aResponse && aResponse->mHead.mStatus == 200;
-}
-
-http::request const kRead{ { "GET", "/stock/item", {} }, "" };
-http::request const kDeposit{ { "POST", "/deposits/1", {} }, "" };
+/// More than the buffers between a caller and an upstream that does not read.
+constexpr std::size_t kUploadBytes = 20'000'000;
+http::request const kUpload{ { "PUT", "/photos/1", {} },
+                             std::string(kUploadBytes, 'a') };
+http::request const kLargeDeposit{ kDeposit.mHead, kUpload.mBody };
+std::string const kEarlyBody(50'000, 'b');
+/// Time until the writers of an upload wait for the upstream to read.
+constexpr auto kResetDelay = 300ms;
 
 /// The mesh with a stock upstream that writes what a test says.
-struct fixture
+struct fixture : scripted_stock
 {
-  void Start(scripted_server::answer_function aAnswer,
-             bool aAnswersEarly = false)
-  {
-    BOOST_TEST_REQUIRE(mMesh.WaitForStock());
-    mMesh.Upstream("stock").Signal(SIGKILL);
-    BOOST_TEST_REQUIRE(mMesh.Upstream("stock").WaitForExit().has_value());
-    mServer.emplace(
-      mMesh.UpstreamAddress("stock"), std::move(aAnswer), aAnswersEarly);
-    BOOST_TEST_REQUIRE(mMesh.WaitForStock());
-  }
-
-  core::attempt<http::response> SendToStock(http::request const& aRequest) const
+  /// Sends a request whose body the upstream does not read. It answers without
+  /// a length, and the connection ends as aEnd says while the body is sent.
+  core::attempt<http::response> SendEarlyAnswered(http::request const& aRequest,
+                                                  std::string const& aField,
+                                                  connection_end aEnd)
   {
-    return Send(mMesh.Caller("order"), aRequest);
-  }
-
-  /// Sends requests until one has reached the upstream. Returns the response.
-  core::attempt<http::response> SendUntilReceived(http::request const& aRequest)
-  {
-    auto const before = mServer->Requests();
-    core::attempt<http::response> response;
-    BOOST_TEST(WaitUntil([&] {
-      response = SendToStock(aRequest);
-      return mServer->Requests() > before;
-    }));
-    return response;
+    auto const head = "HTTP/1.1 200 OK\r\n" + aField + "\r\n";
+    Start(
+      [=](scripted_request const& aReceived) {
+        bool const isRead = aReceived.mHead.starts_with("GET");
+        return isRead ? scripted_answer{ kOk }
+                      : scripted_answer{ head + kEarlyBody, aEnd, kResetDelay };
+      },
+      true);
+    WaitForSuccess();
+    return SendUntilReceived(aRequest);
   }
 
   /// Sends requests until the upstream has got one on a connection that was
@@ -106,8 +91,7 @@
       return isCutting ? scripted_answer{ aBytes.substr(0, size), aEnd }
                        : scripted_answer{ kOk };
     });
-    // The daemon sends few calls to a new process until one has succeeded.
-    BOOST_TEST(WaitUntil([&] { return IsSuccess(SendToStock(kRead)); }));
+    WaitForSuccess();
     isCutting = true;
     for (; size < aBytes.size(); ++size) {
       for (auto const& request : { kRead, kDeposit }) {
@@ -117,9 +101,6 @@
       }
     }
   }
-
-  mesh mMesh;
-  std::optional<scripted_server> mServer;
 };
 
 }
@@ -184,7 +165,7 @@
                               ? RefusalOf(IdOf(aRequest))
                               : kOk };
   });
-  BOOST_TEST(WaitUntil([&] { return IsSuccess(SendToStock(kRead)); }));
+  WaitForSuccess();
   auto const before = mServer->Requests();
   isRefusing = true;
   BOOST_TEST(IsSuccess(SendToStock(kDeposit)));
@@ -243,6 +224,33 @@
   ExpectNoCutIsWhole(whole + "+", connection_end::kReset);
 }
 
+// Guards against a success made of a response without a length that is reset
+// while the call's body is still sent: the kernel reports a reset only once,
+// and the write got the report.
+BOOST_AUTO_TEST_CASE(ResetDuringAnUploadIsNotWhole)
+{
+  for (std::string const field : { "", "connection: close\r\n" }) {
+    for (auto const& request : { kUpload, kLargeDeposit }) {
+      auto const response =
+        SendEarlyAnswered(request, field, connection_end::kReset);
+      BOOST_TEST(!IsSuccess(response), request.mHead.mMethod << " " << field);
+      BOOST_TEST(!IsNotRun(response));
+    }
+  }
+}
+
+// Guards against taking a response without a length for cut off that has ended
+// in order before its connection was reset.
+BOOST_AUTO_TEST_CASE(ResetAfterTheEndOfAResponseLeavesItWhole)
+{
+  for (std::string const field : { "", "connection: close\r\n" }) {
+    auto const response =
+      SendEarlyAnswered(kUpload, field, connection_end::kCloseThenReset);
+    BOOST_TEST(IsSuccess(response));
+    BOOST_TEST((response && response->mBody == kEarlyBody));
+  }
+}
+
 // Guards against a chunked response that looks whole without its trailer.
 BOOST_AUTO_TEST_CASE(CutTrailerIsNotWhole)
 {
--- a/Tests/Support/ScriptedServer.cpp
+++ b/Tests/Support/ScriptedServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -119,13 +120,24 @@
     if (writeCode || answer.mEnd == connection_end::kClose) {
       co_return;
     }
-    if (answer.mEnd == connection_end::kReset) {
-      aSocket.set_option(asio::socket_base::linger(true, 0));
-      // The destructor would close the connection without a reset.
-      aSocket.close();
+    if (answer.mEnd == connection_end::kCloseThenReset) {
+      aSocket.shutdown(tcp::socket::shutdown_send);
+    }
+    if (answer.mEnd != connection_end::kKeepOpen) {
+      co_await Reset(aSocket, answer.mResetDelay);
       co_return;
     }
   }
 }
 
+asio::awaitable<void>
+scripted_server::Reset(socket& aSocket, core::duration aDelay)
+{
+  asio::steady_timer delay(aSocket.get_executor(), aDelay);
+  co_await delay.async_wait(kAsTuple);
+  aSocket.set_option(asio::socket_base::linger(true, 0));
+  // The destructor would close the connection without a reset.
+  aSocket.close();
+}
+
 }
--- a/Tests/Support/ScriptedServer.h
+++ b/Tests/Support/ScriptedServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Address.h"
+#include "LibCore/Time.h"
 
 #include <atomic>
 #include <cstdint>
@@ -19,6 +20,8 @@
   kKeepOpen,
   kClose,
   kReset,
+  /// The sending side is closed in order; the reset follows.
+  kCloseThenReset,
 };
 
 struct scripted_answer
@@ -27,6 +30,9 @@
   std::string mBytes;
   /// What happens to the connection after that.
   connection_end mEnd = connection_end::kKeepOpen;
+  /// Time before a reset, for example until the sender of the request waits for
+  /// the unread rest of it.
+  core::duration mResetDelay{};
 };
 
 struct scripted_request
@@ -66,6 +72,8 @@
 
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(socket aSocket);
+  static boost::asio::awaitable<void> Reset(socket& aSocket,
+                                            core::duration aDelay);
 
   answer_function mAnswer;
   bool mAnswersEarly;
