LibDaemon, LibHttp: Reject responses with a status below 100

An upstream in trouble that answered with status 000 was taken to send an interim response: everything below 200 counted as one. The bytes after its head were read as the next response. Callers got a body that looked like a response as their response, a 200; otherwise they waited until their deadline, or got 502 if the upstream closed the connection. The client of LibHttp returned 000 as the status of a response.

The parser takes any three digits. Both readers now check that the status is one of HTTP's; the daemon answers 502 with the reason "malformed" and does not use the connection again, the client fails with kMalformed.

--- a/Libraries/LibCore/Reasons.cpp
+++ b/Libraries/LibCore/Reasons.cpp
@@ -29,7 +29,7 @@
   { "too_deep", "The call chain is deeper than the limit." },
   { "caller_left", "The caller closed its connection before the answer." },
   { "too_many_connections", "The listener is at its connection limit." },
-  { "malformed", "A peer sent bytes that are not a valid frame." },
+  { "malformed", "A peer or the upstream sent bytes that are not valid." },
   { "wrong_service", "The pool of the call is not one of this service." },
   { "internal", "A fault inside the daemon." },
 } };
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -356,6 +356,11 @@
       co_return FailureFromError(code);
     }
     auto const& message = aParser->get();
+    if (!cranberryfold::http::IsHttpStatus(message.result_int())) {
+      co_return call_refusal{ outcome::kUnknown,
+                              refusal_reason::kMalformed,
+                              {} };
+    }
     if (message.result_int() < kFirstFinalStatus) {
       continue;
     }
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -107,6 +107,9 @@
   {
     auto [code, count] = co_await detail::beast_http::async_read_header(
       mStream, mBuffer, aParser, kNoThrow);
+    if (!code && !IsHttpStatus(aParser.get().result_int())) {
+      code = make_error_code(error::bad_status);
+    }
     if (!code) {
       code = co_await detail::ReadBody(mStream, mBuffer, aParser, aSink);
     }
--- a/Libraries/LibHttp/ResponseChecks.h
+++ b/Libraries/LibHttp/ResponseChecks.h
@@ -6,6 +6,15 @@
 /// Checks of responses that Beast's parser leaves to its callers.
 namespace cranberryfold::http {
 
+/// Returns whether a status is one of HTTP. The parser accepts any three
+/// digits.
+inline bool
+IsHttpStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirstStatus = 100;
+  return aStatus >= kFirstStatus;
+}
+
 /// Returns whether the error of a write shows that the peer did not close its
 /// side of the connection in order. A response that ends with its connection is
 /// cut off then.
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -1,3 +1,4 @@
+#include "Support/MalformedHeads.h"
 #include "Support/Process.h"
 #include "Support/ScriptedServer.h"
 
@@ -9,6 +10,7 @@
 
 namespace {
 
+http::request const kRead{ { "GET", "/", {} }, "" };
 /// More than the buffers of a connection whose server does not read.
 http::request const kUpload{ { "PUT", "/", {} }, std::string(20'000'000, 'a') };
 std::string const kEarlyBody(50'000, 'b');
@@ -78,4 +80,14 @@
   BOOST_TEST((response->mBody == kEarlyBody));
 }
 
+// Guards against a status that HTTP does not have.
+BOOST_AUTO_TEST_CASE(UnknownStatusIsMalformed)
+{
+  for (auto const& head : HeadsWithUnknownStatus()) {
+    auto const response = Exchange(kRead, head + "ok", connection_end::kClose);
+    BOOST_TEST(!response, head);
+    BOOST_TEST((response.mError.mCode == core::error_code::kMalformed), head);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
