LibDaemon: Bound the memory for responses in small chunks

A daemon that is out of memory ends the requests of all its callers.

The credit of a stream counts body bytes, 256 KiB. Each chunk of the upstream became a frame, and each frame an event of the stream, which takes some hundred times the memory of one byte. In the daemon beside the upstream the frames took as much as the queue of a connection holds when the other daemon was frozen; an overflow ends all calls on the connection.

Events that are chunks of a response are joined up to the size of a frame, so that a stream holds at most 17 of them. The daemon beside the upstream puts all body bytes that have arrived into one frame.

LibDaemon/CallLink/ SmallChunksOfAResponseShareAnEvent failed before.

--- a/Libraries/LibDaemon/CallLink.cpp
+++ b/Libraries/LibDaemon/CallLink.cpp
@@ -46,6 +46,26 @@
   }
 };
 
+/// Appends a chunk of a response to the previous event if both are chunks that
+/// fit into one frame. Returns whether it did. The credit of a stream counts
+/// body bytes only, so that an event for each byte would take far more memory.
+bool
+AppendToLastChunk(std::deque<call_frame>& aEvents, call_frame const& aFrame)
+{
+  auto const* const chunk = std::get_if<call_response_chunk>(&aFrame);
+  auto* const last = aEvents.empty()
+                       ? nullptr
+                       : std::get_if<call_response_chunk>(&aEvents.back());
+  bool const fits =
+    chunk != nullptr && last != nullptr && !last->mLast &&
+    last->mBytes.size() + chunk->mBytes.size() <= kMaximumChunkBytes;
+  if (fits) {
+    last->mBytes += chunk->mBytes;
+    last->mLast = chunk->mLast;
+  }
+  return fits;
+}
+
 }
 
 call_link::call_link(asio::any_io_executor aExecutor,
@@ -251,7 +271,7 @@
   }
   if (auto const* const credit = std::get_if<window_update>(&aFrame)) {
     stream.mCredit += credit->mBytes;
-  } else {
+  } else if (!AppendToLastChunk(stream.mEvents, aFrame)) {
     stream.mEvents.push_back(std::move(aFrame));
   }
   stream.mNotify();
--- a/Libraries/LibDaemon/CallLink.h
+++ b/Libraries/LibDaemon/CallLink.h
@@ -19,6 +19,7 @@
 {
   stream_id mId;
   std::uint32_t mAttempt = 0;
+  /// Consecutive chunks of the response are joined up to the size of a frame.
   std::deque<call_frame> mEvents;
   /// Body bytes that the peer accepts at present.
   std::uint64_t mCredit = kInitialCreditBytes;
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -551,8 +551,11 @@
     auto const limit = std::min<std::uint64_t>(bytes.size(), mResponseCredit);
     aParser.get().body().data = bytes.data();
     aParser.get().body().size = limit;
-    auto const [code, read] = co_await http::async_read_some(
+    auto [code, read] = co_await http::async_read_some(
       aConnection.mStream, aConnection.mBuffer, aParser, kAsTuple);
+    if (!code) {
+      code = ParseBufferedBody(aConnection, aParser);
+    }
     if (code && code != http::error::need_buffer) {
       co_return FailureFromError(code);
     }
@@ -572,6 +575,18 @@
   co_return std::nullopt;
 }
 
+boost::system::error_code
+incoming_call::ParseBufferedBody(upstream_connection& aConnection,
+                                 response_parser& aParser)
+{
+  boost::system::error_code code;
+  auto& buffer = aConnection.mBuffer;
+  while (!code && buffer.size() > 0 && !aParser.is_done()) {
+    buffer.consume(aParser.put(buffer.data(), code));
+  }
+  return code == http::error::need_more ? boost::system::error_code() : code;
+}
+
 task<bool>
 incoming_call::WasCutOff(response_parser const& aParser)
 {
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -75,6 +75,12 @@
   task<std::optional<call_refusal>> ForwardResponseBody(
     upstream_connection& aConnection,
     response_parser& aParser);
+  /// Parses body bytes that have arrived as far as they fit into the body of
+  /// aParser, so that small chunks of the response share a frame. Returns
+  /// need_buffer if there are more.
+  static boost::system::error_code ParseBufferedBody(
+    upstream_connection& aConnection,
+    response_parser& aParser);
   /// Returns whether a response that ends with its connection was cut off by a
   /// reset.
   task<bool> WasCutOff(response_parser const& aParser);
--- a/Tests/LibDaemon/TestCallLink.cpp
+++ b/Tests/LibDaemon/TestCallLink.cpp
@@ -177,4 +177,43 @@
   mLink->Close();
 }
 
+// Guards against an event for each byte of a response in small chunks, which
+// takes some hundred times the memory that the credit of a stream allows.
+BOOST_AUTO_TEST_CASE(SmallChunksOfAResponseShareAnEvent)
+{
+  auto const stream = Open();
+  RunUntil([&] { return stream->WasSent() && !mAccepted.empty(); });
+  std::string body;
+  std::string frames;
+  for (std::size_t size = 0; size <= kMaximumChunkBytes; ++size) {
+    body += static_cast<char>('a' + size % 26);
+    call_response_chunk const chunk{
+      stream->mId, 0, body.substr(size), size == kMaximumChunkBytes
+    };
+    frames += wire::EncodeFrame(EncodeCallFrame(chunk));
+  }
+  asio::async_write(mAccepted.front(),
+                    asio::buffer(frames),
+                    [](boost::system::error_code, std::size_t) {});
+  std::string received;
+  auto const isComplete = [&] {
+    received.clear();
+    bool hasLast = false;
+    for (auto const& event : stream->mEvents) {
+      auto const& chunk = std::get<call_response_chunk>(event);
+      BOOST_TEST(!hasLast);
+      received += chunk.mBytes;
+      hasLast = chunk.mLast;
+    }
+    return hasLast;
+  };
+  RunUntil(isComplete);
+  BOOST_TEST((received == body));
+  BOOST_TEST(stream->mEvents.size() == 2U);
+  BOOST_TEST(
+    std::get<call_response_chunk>(stream->mEvents.front()).mBytes.size() ==
+    kMaximumChunkBytes);
+  mLink->Close();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Support/EndlessServer.cpp
+++ b/Tests/Support/EndlessServer.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr std::size_t kWriteBytes = 64UL * 1024UL;
+constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\nconnection: close\r\n"
+                                 "content-length: 0\r\n\r\n";
 
 tcp::endpoint
 EndpointOf(core::address const& aAddress)
@@ -33,9 +34,11 @@
 }
 
 endless_server::endless_server(core::address const& aListen,
-                               endless_bytes aBytes)
+                               endless_bytes aBytes,
+                               endless_from aFrom)
   : mBytes(std::move(aBytes))
   , mAcceptor(mContext, EndpointOf(aListen))
+  , mIsInTrouble(aFrom == endless_from::kStart)
 {
   mThread = std::thread([this] { Accept(); });
 }
@@ -76,14 +79,11 @@
   if (code) {
     return;
   }
-  if (request.starts_with("GET /health")) {
-    asio::write(aSocket,
-                asio::buffer(std::string("HTTP/1.1 200 OK\r\nconnection: close"
-                                         "\r\ncontent-length: 0\r\n\r\n")),
-                code);
+  if (!mIsInTrouble || request.starts_with("GET /health")) {
+    asio::write(aSocket, asio::buffer(kOk), code);
     return;
   }
-  auto const repeated = RepeatToSize(mBytes.mRepeated, kWriteBytes);
+  auto const repeated = RepeatToSize(mBytes.mRepeated, mBytes.mWriteBytes);
   mWritten += asio::write(aSocket, asio::buffer(mBytes.mBeginning), code);
   while (!code && !mIsStopping) {
     mWritten += asio::write(aSocket, asio::buffer(repeated), code);
--- a/Tests/Support/Process.cpp
+++ b/Tests/Support/Process.cpp
@@ -205,6 +205,19 @@
   return ReadFile(mOutputFile);
 }
 
+std::size_t
+child_process::PeakMemoryBytes() const
+{
+  constexpr std::string_view kField = "VmHWM:";
+  constexpr std::size_t kBytesPerKilobyte = 1024;
+  auto const status = ReadFile("/proc/" + std::to_string(mId) + "/status");
+  auto const found = status.find(kField);
+  if (found == std::string::npos) {
+    throw std::runtime_error("the peak memory of a process cannot be read");
+  }
+  return std::stoul(status.substr(found + kField.size())) * kBytesPerKilobyte;
+}
+
 temporary_folder::temporary_folder()
 {
   auto pattern =
--- a/Tests/Support/Process.h
+++ b/Tests/Support/Process.h
@@ -59,6 +59,9 @@
   /// What it has written so far.
   std::string Output() const;
 
+  /// Returns the most memory that the running process has held, in bytes.
+  std::size_t PeakMemoryBytes() const;
+
 private:
   pid_t mId = -1;
   std::optional<int> mStatus;
