LibDaemon: Reset connections of HTTP/1.0 callers whose response is cut off

A caller of HTTP/1.0 got a part of a response as a complete 200 when the upstream's response had no length and was reset. Such a caller knows no chunks, so that its response ends with its connection, and the daemon closed that in order after a response that was cut off for whatever reason. Found while looking for further ways on which a part of a response looks complete.

The connection is reset in this case, without closing its side first.

Daemon/UpstreamResponses/CutResponseToAnOldCallerEndsWithAReset failed before: the connection ended in order. A whole response still ends in order.

--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -74,7 +74,11 @@
       --mServices.mRequests;
     }
     beast::error_code ignored;
-    mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    if (mMustReset) {
+      mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    } else {
+      mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
     mStream.close();
   }
 
@@ -366,7 +370,10 @@
       mClass, mResponse->result_int(), mResponseStarted - mStarted);
     LogResponse(context, result);
     // A truncated response must not look complete, so the connection is closed
-    // before the announced length or the last chunk was sent.
+    // before the announced length or the last chunk was sent. Without either,
+    // only a reset tells the caller.
+    mMustReset = !result.mIsComplete && !mResponse->has_content_length() &&
+                 !mResponse->chunked();
     co_return result.mIsComplete&& bodyWasRead && mResponse->keep_alive();
   }
 
@@ -622,6 +629,8 @@
   /// Whether this daemon is the root of the request and holds its retry budget.
   bool mOwnsBudget = true;
   bool mIsTooLarge = false;
+  /// Whether the connection ends with a reset.
+  bool mMustReset = false;
   bool mHasSentContinue = false;
   bool mIsReading = false;
   bool mMustStopReading = false;
--- a/Tests/Daemon/TestUpstreamResponses.cpp
+++ b/Tests/Daemon/TestUpstreamResponses.cpp
@@ -1,7 +1,10 @@
 #include "Daemon/ScriptedStock.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+namespace asio = boost::asio;
 using namespace cranberryfold;
 using namespace cranberryfold::test_support;
 using namespace std::chrono_literals;
@@ -44,6 +47,29 @@
 /// Time until the writers of an upload wait for the upstream to read.
 constexpr auto kResetDelay = 300ms;
 
+constexpr auto kOldRead = "GET /stock/item HTTP/1.0\r\nhost: a\r\n\r\n";
+
+struct received_bytes
+{
+  std::string mText;
+  /// Why nothing more was received.
+  boost::system::error_code mEnd;
+};
+
+/// Sends a request on a connection of its own and reads until the connection
+/// ends.
+received_bytes
+ReadToEnd(core::address const& aPeer, std::string const& aRequest)
+{
+  asio::io_context context(1);
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address(aPeer.mHost), aPeer.mPort });
+  asio::write(socket, asio::buffer(aRequest));
+  received_bytes received;
+  asio::read(socket, asio::dynamic_buffer(received.mText), received.mEnd);
+  return received;
+}
+
 /// The mesh with a stock upstream that writes what a test says.
 struct fixture : scripted_stock
 {
@@ -251,6 +277,24 @@
   }
 }
 
+// Guards against a response to a caller of HTTP/1.0 that is cut off and looks
+// whole: without a length and chunks, only a reset shows it.
+BOOST_AUTO_TEST_CASE(CutResponseToAnOldCallerEndsWithAReset)
+{
+  auto const head = "HTTP/1.1 200 OK\r\n\r\n";
+  std::atomic<connection_end> end = connection_end::kClose;
+  Start([&](scripted_request const&) {
+    return scripted_answer{ head + kEarlyBody, end, kResetDelay };
+  });
+  WaitForSuccess();
+  auto const whole = ReadToEnd(mMesh.Caller("order"), kOldRead);
+  BOOST_TEST(whole.mText.ends_with("\r\n\r\n" + kEarlyBody));
+  BOOST_TEST((whole.mEnd == asio::error::eof));
+  end = connection_end::kReset;
+  auto const cut = ReadToEnd(mMesh.Caller("order"), kOldRead);
+  BOOST_TEST((cut.mEnd == asio::error::connection_reset));
+}
+
 // Guards against a chunked response that looks whole without its trailer.
 BOOST_AUTO_TEST_CASE(CutTrailerIsNotWhole)
 {
