LibDaemon, LibHttp: Reject responses with a line that begins with a blank

An upstream in trouble sent a field whose name began with a blank or a tab. Callers got the response with that line as a part of the field before it: a 200 whose field had another value than the upstream's.

The parser takes such a line for the continuation of the field before, which senders must not generate; RFC 9112, 5.2 lets a proxy answer 502 instead. The daemon and the client of LibHttp read heads by one function now, which fails with the parser's error for malformed fields if one of the lines is folded.

Daemon/MalformedResponses/BlankOrControlByteInAFieldNameIsNoResponse tries each blank and control byte at the begin, inside and at the end of a name, in the first field and in later ones. Before, it failed for a name that began with a blank or a tab in the third field (4 answers of 612), and so did LibHttp/Client/ BlankOrControlByteInAFieldNameIsMalformed. All others ended in 502 before; a malformed field after the last chunk cut the response off.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -4,6 +4,7 @@
 #include "LibCore/Log.h"
 #include "LibDaemon/HttpFields.h"
 #include "LibHttp/ResponseChecks.h"
+#include "LibHttp/ResponseHead.h"
 
 #include <algorithm>
 #include <array>
@@ -350,8 +351,8 @@
     if (mHead.mMethod == "HEAD") {
       aParser->skip(true);
     }
-    auto const [code, size] = co_await http::async_read_header(
-      aConnection.mStream, aConnection.mBuffer, *aParser, kAsTuple);
+    auto const code = co_await cranberryfold::http::ReadResponseHead(
+      aConnection.mStream, aConnection.mBuffer, *aParser);
     if (code) {
       co_return FailureFromError(code);
     }
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -2,6 +2,7 @@
 
 #include "LibHttp/Beast.h"
 #include "LibHttp/ResponseChecks.h"
+#include "LibHttp/ResponseHead.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -105,8 +106,7 @@
   asio::awaitable<beast::error_code> Read(response_parser& aParser,
                                           body_sink const& aSink)
   {
-    auto [code, count] = co_await detail::beast_http::async_read_header(
-      mStream, mBuffer, aParser, kNoThrow);
+    auto code = co_await ReadResponseHead(mStream, mBuffer, aParser);
     if (!code && !IsHttpStatus(aParser.get().result_int())) {
       code = make_error_code(error::bad_status);
     }
--- a/Tests/Daemon/TestMalformedResponses.cpp
+++ b/Tests/Daemon/TestMalformedResponses.cpp
@@ -66,4 +66,26 @@
                    connection_end::kKeepOpen);
 }
 
+// Guards against passing on a malformed field, or a body whose length another
+// reader of that field takes for a different one.
+BOOST_AUTO_TEST_CASE(BlankOrControlByteInAFieldNameIsNoResponse)
+{
+  for (auto const& head : HeadsWithMalformedName()) {
+    ExpectBadGateway(head + "ok", connection_end::kKeepOpen);
+  }
+}
+
+// Guards against a whole response made of one that ends with a malformed field.
+BOOST_AUTO_TEST_CASE(MalformedTrailerIsNotWhole)
+{
+  std::string const start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+                            "\r\n2\r\nok\r\n0\r\n";
+  for (std::string const name : { "x name", "x-name ", "x-\x01name" }) {
+    mBytes = start + name + ": value\r\n\r\n";
+    mIsInTrouble = true;
+    BOOST_TEST(!IsSuccess(SendUntilReceived(kDeposit)), name);
+    mIsInTrouble = false;
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -90,4 +90,14 @@
   }
 }
 
+// Guards against accepting a malformed field.
+BOOST_AUTO_TEST_CASE(BlankOrControlByteInAFieldNameIsMalformed)
+{
+  for (auto const& head : HeadsWithMalformedName()) {
+    auto const response = Exchange(kRead, head + "ok", connection_end::kClose);
+    BOOST_TEST(!response, head);
+    BOOST_TEST((response.mError.mCode == core::error_code::kMalformed), head);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
