--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -1,7 +1,12 @@
+#include "LibHttp/Client.h"
+#include "Support/EndlessServer.h"
 #include "Support/MalformedHeads.h"
 #include "Support/Process.h"
 #include "Support/ScriptedServer.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace cranberryfold;
@@ -13,6 +18,8 @@
 http::request const kRead{ { "GET", "/", {} }, "" };
 /// More than the buffers of a connection whose server does not read.
 http::request const kUpload{ { "PUT", "/", {} }, std::string(20'000'000, 'a') };
+/// Far more than sockets buffer.
+constexpr std::uint64_t kMaximumReadBytes = 64UL << 20U;
 std::string const kEarlyBody(50'000, 'b');
 /// Time until the client waits for the server to read.
 constexpr auto kResetDelay = 300ms;
@@ -35,6 +42,20 @@
   return Send(address, aRequest);
 }
 
+/// Sends a read whose response may have a short body only.
+core::attempt<http::response>
+SendWithLimit(core::address const& aPeer)
+{
+  constexpr std::uint64_t kMaximumBody = 64UL << 10U;
+  boost::asio::io_context context(1);
+  auto response = boost::asio::co_spawn(
+    context,
+    http::SendRequest(aPeer, kRead, kWaitLimit, kMaximumBody),
+    boost::asio::use_future);
+  context.run();
+  return response.get();
+}
+
 core::attempt<http::response>
 SendEarlyAnswered(std::string const& aField, connection_end aEnd)
 {
@@ -100,4 +121,28 @@
   }
 }
 
+// Guards against unbounded memory and time for a response without end, in its
+// head, its body or the lines between.
+BOOST_AUTO_TEST_CASE(EndlessResponsesAreAborted)
+{
+  std::string const start = "HTTP/1.1 200 OK\r\n";
+  std::string const chunked = start + "transfer-encoding: chunked\r\n\r\n";
+  std::vector<endless_bytes> const responses{
+    { "", "\x01\xff#" },           { "HTTP/1.1 200 ", "a" },
+    { start + "x-filler: ", "a" }, { start, "x-filler: a\r\n" },
+    { start + "\r\n", "a" },       { chunked, "1\r\na\r\n" },
+    { chunked + "5;x=", "a" },     { chunked + "0\r\n", "x-filler: a\r\n" },
+  };
+  for (auto const& response : responses) {
+    auto const ports = ReservePorts(1);
+    core::address const address{ "127.0.0.1", ports.Ports().front() };
+    endless_server const server(address, response);
+    auto const error = SendWithLimit(address).mError.mCode;
+    BOOST_TEST((error == core::error_code::kMalformed ||
+                error == core::error_code::kLimitExceeded),
+               response.mBeginning << response.mRepeated);
+    BOOST_TEST(server.Written() < kMaximumReadBytes);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
