Tests: End the scripted upstream before what its answers use

The server's thread could still read the bytes of a test's fixture while that was destroyed, and a connection that the daemon had closed made its reset throw. Found when reading the change; no run showed either.

--- a/Tests/Daemon/TestMalformedResponses.cpp
+++ b/Tests/Daemon/TestMalformedResponses.cpp
@@ -21,6 +21,8 @@
     WaitForSuccess();
   }
 
+  ~fixture() { mServer.reset(); }
+
   /// Checks that a caller gets a failure in place of these bytes, at once and
   /// not at the end of its time.
   void ExpectBadGateway(std::string const& aBytes, connection_end aEnd)
--- a/Tests/Support/ScriptedServer.cpp
+++ b/Tests/Support/ScriptedServer.cpp
@@ -121,7 +121,8 @@
       co_return;
     }
     if (answer.mEnd == connection_end::kCloseThenReset) {
-      aSocket.shutdown(tcp::socket::shutdown_send);
+      boost::system::error_code ignored;
+      aSocket.shutdown(tcp::socket::shutdown_send, ignored);
     }
     if (answer.mEnd != connection_end::kKeepOpen) {
       co_await Reset(aSocket, answer.mResetDelay);
@@ -135,9 +136,10 @@
 {
   asio::steady_timer delay(aSocket.get_executor(), aDelay);
   co_await delay.async_wait(kAsTuple);
-  aSocket.set_option(asio::socket_base::linger(true, 0));
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
   // The destructor would close the connection without a reset.
-  aSocket.close();
+  aSocket.close(ignored);
 }
 
 }
