LibHttp: Read response heads with the token and the size of Beast.h

ReadResponseHead() had a completion token and a read size of its own that are the same as kNoThrow and kChunkBytes, which ReadBody() beside it uses. No behaviour changes; found when the whole change was read again. The tests of LibHttp and Daemon that read responses pass.

--- a/Libraries/LibHttp/ResponseHead.h
+++ b/Libraries/LibHttp/ResponseHead.h
@@ -1,13 +1,10 @@
 #pragma once
 
+#include "LibHttp/Beast.h"
+
 #include <string_view>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -36,9 +33,7 @@
                  boost::beast::flat_buffer& aBuffer,
                  Parser& aParser)
 {
-  using boost::beast::http::error;
-  constexpr auto kAsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
-  constexpr std::size_t kReadBytes = 64U << 10U;
+  using detail::beast_http::error;
   // Each call of put() ends with the head at the latest.
   aParser.eager(false);
   for (;;) {
@@ -57,12 +52,12 @@
         co_return code;
       }
     }
-    auto const size = boost::beast::read_size(aBuffer, kReadBytes);
+    auto const size = boost::beast::read_size(aBuffer, detail::kChunkBytes);
     if (size == 0) {
       co_return make_error_code(error::buffer_overflow);
     }
     auto const [code, read] =
-      co_await aStream.async_read_some(aBuffer.prepare(size), kAsTuple);
+      co_await aStream.async_read_some(aBuffer.prepare(size), detail::kNoThrow);
     aBuffer.commit(read);
     if (code == boost::asio::error::eof) {
       co_return make_error_code(aParser.got_some() ? error::partial_message
