--- a/review/stand_in_3/harness.cpp
+++ b/review/stand_in_3/harness.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -168,12 +169,21 @@
   return true;
 }
 
+ssize_t
+connection::WriteSome(std::string_view aBytes)
+{
+  auto const written =
+    ::send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  return written < 0 && errno == EAGAIN ? 0 : written;
+}
+
 bool
 connection::Fill()
 {
   char bytes[16384];
   auto const size = ::recv(mSocket, bytes, sizeof bytes, 0);
   if (size <= 0) {
+    mHasEnded = size == 0 || errno != EAGAIN;
     return false;
   }
   mBuffer.append(bytes, static_cast<std::size_t>(size));
@@ -217,6 +227,19 @@
   return body;
 }
 
+std::string
+connection::ReadSome(std::size_t aSize)
+{
+  if (mBuffer.empty()) {
+    std::string bytes(aSize, '\0');
+    auto const size = ::recv(mSocket, bytes.data(), bytes.size(), 0);
+    mHasEnded = size == 0 || (size < 0 && errno != EAGAIN);
+    bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    return bytes;
+  }
+  return ReadBody(std::min(aSize, mBuffer.size()));
+}
+
 void
 connection::Close()
 {
@@ -574,6 +597,22 @@
   ::kill(process, aSignal);
 }
 
+std::size_t
+mesh::ResidentMb(std::size_t aIndex) const
+{
+  auto const process = mProcesses.at(Ip(aIndex));
+  std::ifstream file("/proc/" + std::to_string(process) + "/status");
+  std::string word;
+  while (file >> word) {
+    if (word == "VmRSS:") {
+      std::size_t kilobytes = 0;
+      file >> kilobytes;
+      return kilobytes / 1024;
+    }
+  }
+  return 0;
+}
+
 void
 mesh::WaitForEnd(std::size_t aIndex)
 {
--- a/review/stand_in_3/harness.h
+++ b/review/stand_in_3/harness.h
@@ -72,15 +72,23 @@
   int Socket() const { return mSocket; }
   /// Returns whether all bytes were taken.
   bool Write(std::string_view aBytes);
+  /// Writes once and returns how many bytes were taken: 0 at the time-out, -1
+  /// if the connection has failed.
+  ssize_t WriteSome(std::string_view aBytes);
   std::optional<message_head> ReadHead();
   /// Reads up to aSize bytes of a body; returns what came before the end.
   std::string ReadBody(std::size_t aSize);
+  /// Reads once, up to aSize bytes.
+  std::string ReadSome(std::size_t aSize);
+  /// Whether the peer has closed its side, or the connection has failed.
+  bool HasEnded() const { return mHasEnded; }
   void Close();
 
 private:
   bool Fill();
 
   int mSocket;
+  bool mHasEnded = false;
   std::string mBuffer;
 };
 
@@ -186,6 +194,8 @@
                      std::vector<route> const& aRoutes,
                      std::uint64_t aMaximumBodyBytes);
   void Signal(std::size_t aIndex, int aSignal);
+  /// Resident memory of a daemon in MB; 0 if it is gone.
+  std::size_t ResidentMb(std::size_t aIndex) const;
   /// Starts a daemon again that has ended.
   void Restart(std::size_t aIndex);
   /// Waits until the daemon has ended.
@@ -214,6 +224,8 @@
 /// Bounds of the small deployments on the users' pages.
 inline constexpr auto kStableWindow = 3000ms;
 inline constexpr auto kConfigurationApplies = 2500ms;
+/// MemoryMb of a daemon in the settings that the mesh writes.
+inline constexpr std::size_t kMemoryMb = 260;
 
 inline constexpr int kHeld = 0;
 inline constexpr int kBroken = 1;
