LibDaemon: Read the rest of a request after every response

Cause: after a complete response the daemon closed the connection unless the request had been read to its end. The kernel resets a connection that is closed with unread bytes and drops what it has not sent. Rejections of headers and bodies (400, 408, 413, 431) closed it in the same way, refusals after two seconds. Besides, the body was not passed on while the response was written, so that a large upload and a large response waited for each other.

The rest of a request is now read and dropped until the deadline of the request, or, where the parser reads nothing more, until the caller closes. The body is passed on while the response is written, and dropped once the response has arrived. The connection is kept as the response announced.

ScriptedServer gets an answer after which it crashes, for the tests of requests that crash upstreams.

--- a/Libraries/LibDaemon/CallRunner.cpp
+++ b/Libraries/LibDaemon/CallRunner.cpp
@@ -29,6 +29,17 @@
 /// than the time for which a draining daemon runs on.
 constexpr core::duration kStopCheckInterval = std::chrono::milliseconds(500);
 
+/// Returns whether a frame is the last one of a complete response.
+bool
+EndsResponse(call_frame const& aFrame)
+{
+  if (auto const* const head = std::get_if<call_response_head>(&aFrame)) {
+    return !head->mHasBody;
+  }
+  auto const* const chunk = std::get_if<call_response_chunk>(&aFrame);
+  return chunk != nullptr && chunk->mLast;
+}
+
 }
 
 call_runner::call_runner(outgoing_services& aServices,
@@ -56,6 +67,36 @@
   Notify();
 }
 
+void
+call_runner::AppendBody(std::string_view aBytes)
+{
+  mBody.Append(aBytes);
+  SendBodyDuringResponse();
+  Notify();
+}
+
+void
+call_runner::OnStreamEvent()
+{
+  if (mStream && !mStream->mEvents.empty() &&
+      EndsResponse(mStream->mEvents.back())) {
+    mHasReceivedResponse = true;
+    if (mOnBodyConsumed) {
+      mOnBodyConsumed();
+    }
+  }
+  SendBodyDuringResponse();
+  Notify();
+}
+
+void
+call_runner::SendBodyDuringResponse()
+{
+  if (mHasResponseHead && mStream && !mHasReceivedResponse) {
+    SendBody(*mLink, *mStream);
+  }
+}
+
 bool
 call_runner::IsBodyTooLate() const
 {
@@ -297,11 +338,15 @@
   auto const link = mServices.mLinks.LinkTo(aChosen.mPeerAddress);
   auto const stream = link->Open(MakeHead(), [weak = weak_from_this()] {
     if (auto const self = weak.lock()) {
-      self->Notify();
+      self->OnStreamEvent();
     }
   });
+  mLink = link;
+  mStream = stream;
   auto result = co_await ProcessStreamEvents(aChosen, *link, stream);
   link->Release(stream->mId);
+  mLink.reset();
+  mStream.reset();
   if (!result.mIsComplete) {
     link->Send(cancel{ stream->mId });
   }
@@ -411,6 +456,7 @@
     }
     if (auto const* const head = std::get_if<call_response_head>(&event)) {
       hasResponse = true;
+      mHasResponseHead = true;
       mLastHttpStatus = head->mStatus;
       mLastLoadStatus = head->mLoadStatus;
       if (!co_await mSink.mWriteHead(*head, aChosen.mInstance)) {
--- a/Libraries/LibDaemon/CallRunner.h
+++ b/Libraries/LibDaemon/CallRunner.h
@@ -81,9 +81,14 @@
 
   /// Returns the body of the request. Call Notify() after each change to it.
   request_body& Body() { return mBody; }
+  /// Appends at most Body().FreeBytes() bytes to the body.
+  void AppendBody(std::string_view aBytes);
+  /// Returns whether the end of the response has arrived, so that the rest of
+  /// the body is no longer needed. The response may not have been written yet.
+  bool HasReceivedResponse() const { return mHasReceivedResponse; }
   void Notify() { mSignal.Notify(); }
   /// Sets a function that runs after bytes of the body were consumed, since the
-  /// buffer may have free space then.
+  /// buffer may have free space then, and when the body is no longer needed.
   void SetBodyConsumedCallback(std::function<void()> aCallback)
   {
     mOnBodyConsumed = std::move(aCallback);
@@ -130,6 +135,10 @@
   task<bool> ObtainRetryPermit();
   task<bool> RequestPermitFromRoot();
   void SendBody(call_link& aLink, outgoing_stream& aStream);
+  void OnStreamEvent();
+  /// Sends what has arrived of the body while the response is written. Callers
+  /// may read the response only after they have sent the body.
+  void SendBodyDuringResponse();
   void LogFailedAttempt(traffic::chosen_upstream const& aChosen,
                         traffic::attempt_report const& aReport) const;
   void LogRetry(core::retry_reason aReason, bool aIsRetried) const;
@@ -147,6 +156,12 @@
   request_body mBody;
   std::function<void()> mOnBodyConsumed;
   traffic::attempt_history mHistory;
+  /// Stream of the current attempt and its link; empty between attempts.
+  std::shared_ptr<call_link> mLink;
+  std::shared_ptr<outgoing_stream> mStream;
+  /// Whether the head of a response was passed to the sink.
+  bool mHasResponseHead = false;
+  bool mHasReceivedResponse = false;
   std::uint32_t mAttempts = 0;
   std::uint32_t mTransparentRetries = 0;
   /// Becomes kTried when the root daemon grants no further upstream.
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -23,9 +23,8 @@
 constexpr std::size_t kReadBytes = 16UL * 1024UL;
 /// Time after the deadline for a caller that reads its response slowly.
 constexpr core::duration kSlowReaderGracePeriod = 10s;
-/// Time for the rest of a request body that is no longer needed. Closing the
-/// connection before the body has arrived would reset it and lose the response.
-constexpr auto kDiscardTimeout = 2s;
+/// Minimum time for the rest of a request that is no longer needed.
+constexpr core::duration kMinimumDropTime = 2s;
 /// Time for the response to a call whose deadline is limited by a stop.
 constexpr core::duration kLastResponseTime = 100ms;
 
@@ -105,6 +104,7 @@
   task<bool> ServeNext(tables::caller_limits const& aLimits)
   {
     mParser.emplace();
+    mDeadline = {};
     mIsTooLarge = false;
     mHasSentContinue = false;
     mParser->header_limit(aLimits.mHeaderBytes);
@@ -151,8 +151,9 @@
     http::response<http::string_body> response(status, kFirstChunkedVersion);
     response.keep_alive(false);
     response.prepare_payload();
-    mStream.expires_after(kDiscardTimeout);
+    mStream.expires_after(kMinimumDropTime);
     co_await http::async_write(mStream, response, kAsTuple);
+    co_await DropInput();
   }
 
   /// Waits until there are routes or the daemon is no longer starting.
@@ -243,6 +244,7 @@
     context.mOrigin = Outgoing().mSettings.mUpstream.mService;
     context.mRoute = aRoute.mName;
     InheritFromParent(context);
+    mDeadline = context.mDeadline;
     return context;
   }
 
@@ -359,7 +361,7 @@
     if (isRoot) {
       Outgoing().mPolicy.CloseRetryBudget(context.mRequest);
     }
-    bool const bodyWasRead = co_await StopReader();
+    co_await StopReader();
     if (!result.mHasResponse) {
       if (mIsTooLarge) {
         result.mRefusal.mReason = refusal_reason::kTooLarge;
@@ -374,7 +376,10 @@
     // only a reset tells the caller.
     mMustReset = !result.mIsComplete && !mResponse->has_content_length() &&
                  !mResponse->chunked();
-    co_return result.mIsComplete&& bodyWasRead && mResponse->keep_alive();
+    if (!result.mIsComplete) {
+      co_return false;
+    }
+    co_return co_await FinishRequest(mResponse->keep_alive());
   }
 
   /// Reads the request body as the buffer gets free space, then watches for the
@@ -400,6 +405,10 @@
     }
     std::array<char, kReadBytes> bytes;
     while (!mParser->is_done() && !mMustStopReading) {
+      if (aRunner.HasReceivedResponse()) {
+        co_await DropBody();
+        co_return;
+      }
       auto const freeBytes = std::min(bytes.size(), aRunner.Body().FreeBytes());
       if (freeBytes == 0) {
         co_await mBodySpaceAvailable.Wait();
@@ -415,15 +424,31 @@
         aRunner.Notify();
         co_return;
       }
-      aRunner.Body().Append(
+      aRunner.AppendBody(
         std::string_view(bytes.data(), freeBytes - mParser->get().body().size));
-      aRunner.Notify();
     }
     if (mParser->is_done()) {
       aRunner.CompleteBody();
     }
   }
 
+  /// Reads and drops the rest of the body until its end, an error or a request
+  /// to stop. A caller may read the response only after it has sent the body.
+  task<void> DropBody()
+  {
+    std::array<char, kReadBytes> bytes;
+    while (!mParser->is_done() && !mMustStopReading) {
+      mParser->get().body().data = bytes.data();
+      mParser->get().body().size = bytes.size();
+      auto const [code, size] =
+        co_await http::async_read_some(mStream, mBuffer, *mParser, kAsTuple);
+      if (code && code != http::error::need_buffer) {
+        mIsTooLarge = code == http::error::body_limit;
+        co_return;
+      }
+    }
+  }
+
   task<void> WatchForDisconnect(call_runner& aRunner)
   {
     if (mBuffer.size() > 0) {
@@ -441,8 +466,8 @@
     return PeekSocket(mStream.socket()) == socket_state::kClosed;
   }
 
-  /// Stops the reader. Returns whether the request was read to its end.
-  task<bool> StopReader()
+  /// Stops the reader. The request may not have been read to its end.
+  task<void> StopReader()
   {
     mMustStopReading = true;
     while (mIsReading) {
@@ -451,7 +476,6 @@
       co_await mReaderDone.Wait(Now() + kReaderStopPoll);
     }
     mMustStopReading = false;
-    co_return mParser->is_done();
   }
 
   task<bool> WriteHead(call_response_head const& aHead,
@@ -514,16 +538,15 @@
     bool const bodyWillArrive =
       mParser->is_done() || !ExpectsContinue() || mHasSentContinue;
     response.keep_alive(message.keep_alive() && bodyWillArrive &&
-                        !Outgoing().mPolicy.IsDraining());
+                        !mIsTooLarge && !Outgoing().mPolicy.IsDraining());
     response.prepare_payload();
     bool const keepAlive = response.keep_alive();
     auto const [code, size] =
       co_await http::async_write(mStream, response, kAsTuple);
-    if (!IsWritten(code) || !bodyWillArrive) {
+    if (!IsWritten(code)) {
       co_return false;
     }
-    bool const wasRead = co_await DiscardBody();
-    co_return keepAlive&& wasRead;
+    co_return co_await FinishRequest(keepAlive);
   }
 
   void DropRequest()
@@ -580,26 +603,59 @@
     }
   }
 
-  /// Reads and drops the rest of the request. Returns whether its end was
-  /// reached in time.
-  task<bool> DiscardBody()
+  /// Reads and drops the rest of a request whose response was sent, as closing
+  /// the connection before would reset it and lose the response. Returns
+  /// whether the connection can be reused, which aKeepAlive announced.
+  task<bool> FinishRequest(bool aKeepAlive)
+  {
+    if (mParser->is_done()) {
+      co_return aKeepAlive;
+    }
+    SetDropTimeout();
+    if (!aKeepAlive) {
+      EndOutput();
+    }
+    if (!mIsTooLarge) {
+      co_await DropBody();
+    }
+    if (mIsTooLarge) {
+      // The parser reads nothing beyond its limit.
+      co_await DropInput();
+    }
+    co_return aKeepAlive && mParser->is_done();
+  }
+
+  /// Ends the connection in the direction of the caller and drops what the
+  /// caller still sends, until it closes the connection or the stream times
+  /// out.
+  task<void> DropInput()
   {
+    EndOutput();
     std::array<char, kReadBytes> bytes;
-    // In a drain, callers whose bodies arrive late must get their refusals,
-    // too.
-    auto const end = Now() + kDiscardTimeout;
-    mStream.expires_at(ToSteadyClock(
-      std::max(end, Outgoing().mPolicy.StopTime().value_or(end))));
-    while (!mParser->is_done()) {
-      mParser->get().body().data = bytes.data();
-      mParser->get().body().size = bytes.size();
+    for (;;) {
       auto const [code, size] =
-        co_await http::async_read_some(mStream, mBuffer, *mParser, kAsTuple);
-      if (code && code != http::error::need_buffer) {
-        co_return false;
+        co_await mStream.async_read_some(asio::buffer(bytes), kAsTuple);
+      if (code) {
+        co_return;
       }
     }
-    co_return true;
+  }
+
+  /// Tells the caller that no further response follows.
+  void EndOutput()
+  {
+    beast::error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  /// Limits the time for the rest of a request. A caller may send it until its
+  /// deadline, and read the response after that. In a drain, callers whose
+  /// bodies arrive late must get their responses, too.
+  void SetDropTimeout()
+  {
+    auto const end = std::max(Now() + kMinimumDropTime, mDeadline);
+    mStream.expires_at(ToSteadyClock(
+      std::max(end, Outgoing().mPolicy.StopTime().value_or(end))));
   }
 
   bool ExpectsContinue() const
@@ -622,6 +678,8 @@
   signal mBodySpaceAvailable;
   tables::work_class mClass = tables::work_class::kCatalogue;
   core::time_point mStarted;
+  /// Deadline of the current request; 0 until its route is known.
+  core::time_point mDeadline;
   /// When the head of the response was sent.
   core::time_point mResponseStarted;
   core::instance_id mRespondingInstance;
--- a/Tests/Support/ScriptedServer.cpp
+++ b/Tests/Support/ScriptedServer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <tuple>
 
 #include <boost/algorithm/string/case_conv.hpp>
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto kReaderPoll = std::chrono::milliseconds(1);
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
 constexpr std::string_view kHealthy = "HTTP/1.1 200 OK\r\n"
                                       "connection: close\r\n"
@@ -33,6 +35,38 @@
   return length.empty() ? 0 : std::stoul(length);
 }
 
+/// Reads and drops bytes while other code writes to the same socket.
+class background_reader : public std::enable_shared_from_this<background_reader>
+{
+public:
+  background_reader(tcp::socket& aSocket, std::size_t aSize)
+    : mSocket(aSocket)
+    , mLeft(aSize)
+  {
+  }
+
+  bool IsDone() const { return mLeft == 0; }
+
+  void Read()
+  {
+    if (IsDone()) {
+      return;
+    }
+    mSocket.async_read_some(
+      asio::buffer(mBytes),
+      [self = shared_from_this()](boost::system::error_code aCode,
+                                  std::size_t aSize) {
+        self->mLeft -= aCode ? self->mLeft : std::min(self->mLeft, aSize);
+        self->Read();
+      });
+  }
+
+private:
+  tcp::socket& mSocket;
+  std::size_t mLeft;
+  std::array<char, 65'536> mBytes{};
+};
+
 }
 
 std::string
@@ -88,6 +122,9 @@
 asio::awaitable<void>
 scripted_server::Serve(socket aSocket)
 {
+  mSockets.insert(&aSocket);
+  std::shared_ptr<socket> const registration(
+    &aSocket, [this](socket* aEnded) { mSockets.erase(aEnded); });
   std::string read;
   for (unsigned number = 1;; ++number) {
     auto const [code, size] = co_await asio::async_read_until(
@@ -115,11 +152,22 @@
     }
     read.clear();
     auto const answer = mAnswer(request);
+    auto const reader = std::make_shared<background_reader>(
+      aSocket, answer.mReadsOn ? bodyLeft : 0);
+    reader->Read();
     auto const [writeCode, written] = co_await asio::async_write(
       aSocket, asio::buffer(answer.mBytes), kAsTuple);
+    while (!reader->IsDone()) {
+      asio::steady_timer pause(mContext, kReaderPoll);
+      co_await pause.async_wait(kAsTuple);
+    }
     if (writeCode || answer.mEnd == connection_end::kClose) {
       co_return;
     }
+    if (answer.mEnd == connection_end::kCrash) {
+      Crash();
+      co_return;
+    }
     if (answer.mEnd == connection_end::kCloseThenReset) {
       boost::system::error_code ignored;
       aSocket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -131,6 +179,17 @@
   }
 }
 
+void
+scripted_server::Crash()
+{
+  boost::system::error_code ignored;
+  mAcceptor.close(ignored);
+  for (auto* const open : mSockets) {
+    open->set_option(asio::socket_base::linger(true, 0), ignored);
+    open->close(ignored);
+  }
+}
+
 asio::awaitable<void>
 scripted_server::Reset(socket& aSocket, core::duration aDelay)
 {
--- a/Tests/Support/ScriptedServer.h
+++ b/Tests/Support/ScriptedServer.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -22,6 +23,9 @@
   kReset,
   /// The sending side is closed in order; the reset follows.
   kCloseThenReset,
+  /// The server stops to listen and resets all connections, as if its process
+  /// had crashed.
+  kCrash,
 };
 
 struct scripted_answer
@@ -33,6 +37,8 @@
   /// Time before a reset, for example until the sender of the request waits for
   /// the unread rest of it.
   core::duration mResetDelay{};
+  /// Whether the rest of the request is read while the answer is written.
+  bool mReadsOn = false;
 };
 
 struct scripted_request
@@ -74,10 +80,13 @@
   boost::asio::awaitable<void> Serve(socket aSocket);
   static boost::asio::awaitable<void> Reset(socket& aSocket,
                                             core::duration aDelay);
+  void Crash();
 
   answer_function mAnswer;
   bool mAnswersEarly;
   std::atomic<unsigned> mRequests = 0;
+  /// Open connections.
+  std::set<socket*> mSockets;
   boost::asio::io_context mContext{ 1 };
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::thread mThread;
