LibDaemon: Hold each request to the limits in force when it arrives

Callers who had kept their connections got 413 for uploads that the tables in force allowed, seconds after the change was acknowledged.

Cause: the daemon read the limits of the tables before it waited for the next request on a connection, and used them for that request. The idle time came from the same copy, so that it could neither be raised nor lowered for connections that were idle.

The limits are now read when a request arrives. One timer for each thread closes idle connections, and new tables apply to those that are idle already.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -182,7 +182,14 @@
   InstallClaimMap(aView->Tables().mClaimMap);
   bool const hasFirstTables =
     aView->HasRoutes() && !mPolicy.View()->HasRoutes();
+  auto const limitsBefore = mPolicy.View()->Tables().mLimits;
+  bool const hasNewLimits = aView->Tables().mLimits != limitsBefore;
   mPolicy.SetView(Now(), std::move(aView));
+  if (hasNewLimits) {
+    for (auto const& thread : mThreads) {
+      thread->Post([&idle = thread->Idle()] { idle.OnTimeoutChanged(); });
+    }
+  }
   if (hasFirstTables) {
     // Announcing publishes another view, so this one has to be complete.
     asio::post(mContext, [this] { Announce(); });
--- a/Libraries/LibDaemon/HttpServer.cpp
+++ b/Libraries/LibDaemon/HttpServer.cpp
@@ -62,14 +62,13 @@
   {
     bool keepAlive = true;
     while (keepAlive) {
-      auto const limits = Outgoing().mPolicy.View()->Tables().mLimits;
       // GCC 12 evaluates a co_await inside && or a condition more than once.
-      bool const hasRequest = co_await WaitForRequest(limits);
+      bool const hasRequest = co_await WaitForRequest();
       if (!hasRequest) {
         break;
       }
       ++mServices.mRequests;
-      keepAlive = co_await ServeNext(limits);
+      keepAlive = co_await ServeNext();
       --mServices.mRequests;
     }
     beast::error_code ignored;
@@ -86,35 +85,39 @@
 
   /// Waits for the first bytes of a request. Returns false if the connection
   /// ended or was idle for too long.
-  task<bool> WaitForRequest(tables::caller_limits const& aLimits)
+  task<bool> WaitForRequest()
   {
     if (mBuffer.size() > 0) {
       co_return true;
     }
-    mStream.expires_after(
-      std::chrono::milliseconds(aLimits.mIdleTimeoutMilliseconds));
+    mStream.expires_never();
+    auto const id = mServices.mIdle.Add([this] { mStream.cancel(); });
     auto const [code, size] =
       co_await mStream.async_read_some(mBuffer.prepare(kReadBytes), kAsTuple);
+    mServices.mIdle.Remove(id);
     mBuffer.commit(size);
     co_return !code;
   }
 
   /// Reads and serves one request. Returns whether the connection can be
   /// reused.
-  task<bool> ServeNext(tables::caller_limits const& aLimits)
+  task<bool> ServeNext()
   {
+    // The connection may have been idle since before the last change of the
+    // limits.
+    auto const limits = Outgoing().mPolicy.View()->Tables().mLimits;
     mParser.emplace();
     mDeadline = {};
     mIsTooLarge = false;
     mHasSentContinue = false;
-    mParser->header_limit(aLimits.mHeaderBytes);
-    if (aLimits.mBodyBytes == 0) {
+    mParser->header_limit(limits.mHeaderBytes);
+    if (limits.mBodyBytes == 0) {
       mParser->body_limit(boost::none);
     } else {
-      mParser->body_limit(aLimits.mBodyBytes);
+      mParser->body_limit(limits.mBodyBytes);
     }
     mStream.expires_after(
-      std::chrono::milliseconds(aLimits.mHeaderTimeoutMilliseconds));
+      std::chrono::milliseconds(limits.mHeaderTimeoutMilliseconds));
     auto const [code, size] =
       co_await http::async_read_header(mStream, mBuffer, *mParser, kAsTuple);
     mStream.expires_never();
--- a/Libraries/LibDaemon/HttpServer.h
+++ b/Libraries/LibDaemon/HttpServer.h
@@ -3,6 +3,7 @@
 #include "LibDaemon/CallRunner.h"
 #include "LibDaemon/ClaimService.h"
 #include "LibDaemon/HttpDialect.h"
+#include "LibDaemon/IdleConnections.h"
 
 #include <atomic>
 #include <memory>
@@ -29,6 +30,7 @@
   request_counter& mRequests;
   claim_service& mClaims;
   http_dialect const& mDialect;
+  idle_connections& mIdle;
 };
 
 /// Serves an accepted HTTP connection until it ends.
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -56,7 +56,16 @@
                aShared.mMetrics,
                mLinks,
                aShared.mPermits }
-  , mHttp{ mOutgoing, aShared.mRequests, aShared.mClaims, aShared.mDialect }
+  , mIdle(mContext.get_executor(),
+          [&policy = aShared.mPolicy] {
+            return std::chrono::milliseconds(
+              policy.View()->Tables().mLimits.mIdleTimeoutMilliseconds);
+          })
+  , mHttp{ mOutgoing,
+           aShared.mRequests,
+           aShared.mClaims,
+           aShared.mDialect,
+           mIdle }
 {
 }
 
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -44,6 +44,7 @@
   upstream_pool& Upstreams() { return mUpstreams; }
   incoming_services& Incoming() { return mIncoming; }
   http_services& Http() { return mHttp; }
+  idle_connections& Idle() { return mIdle; }
   void SetPeerHooks(call_server_hooks aHooks) { mHooks = std::move(aHooks); }
   call_server_hooks const& PeerHooks() const { return mHooks; }
 
@@ -54,6 +55,7 @@
   upstream_pool mUpstreams;
   incoming_services mIncoming;
   outgoing_services mOutgoing;
+  idle_connections mIdle;
   http_services mHttp;
   call_server_hooks mHooks;
   std::thread mThread;
--- a/Tests/Daemon/Mesh.cpp
+++ b/Tests/Daemon/Mesh.cpp
@@ -4,6 +4,8 @@
 #include <filesystem>
 #include <stdexcept>
 
+#include <boost/json.hpp>
+
 namespace cranberryfold::test_support {
 
 namespace {
@@ -210,6 +212,39 @@
   return tables && tables->mBody.find(row) != std::string::npos;
 }
 
+bool
+mesh::SetLimits(std::string const& aInstance,
+                tables::caller_limits const& aLimits) const
+{
+  auto const limits = R"("caller_limits":{"header_bytes":)" +
+                      std::to_string(aLimits.mHeaderBytes) +
+                      R"(,"body_bytes":)" + std::to_string(aLimits.mBodyBytes) +
+                      R"(,"header_timeout_ms":)" +
+                      std::to_string(aLimits.mHeaderTimeoutMilliseconds) +
+                      R"(,"idle_timeout_ms":)" +
+                      std::to_string(aLimits.mIdleTimeoutMilliseconds) + "}";
+  http::request const read{ { "GET", "/v1/tables", {} }, "" };
+  bool const isAccepted = WaitUntil([&] {
+    auto const tables = Send(Admin("order"), read);
+    if (!tables) {
+      return false;
+    }
+    auto const revision = boost::json::parse(tables->mBody).at("revision");
+    auto const base = std::to_string(revision.to_number<std::uint64_t>());
+    auto const response =
+      Send(Admin("order"),
+           { { "POST", "/v1/edits", {} },
+             R"({"edit_id":"limits )" + base + R"(","base_revision":)" + base +
+               R"(,"tables":{)" + limits + "," +
+               std::string(kTables.substr(1)) + "}" });
+    return response && response->mHead.mStatus == 200;
+  });
+  return isAccepted && WaitUntil([&] {
+           auto const tables = Send(Admin(aInstance), read);
+           return tables && tables->mBody.find(limits) != std::string::npos;
+         });
+}
+
 bool
 mesh::WaitForStock() const
 {
--- a/Tests/Daemon/Mesh.h
+++ b/Tests/Daemon/Mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibTables/Tables.h"
 #include "Support/Process.h"
 
 #include <map>
@@ -37,6 +38,11 @@
   /// daemons' own edits take revisions too, which therefore tell less.
   bool HasPool(std::string const& aInstance, std::string const& aPool) const;
 
+  /// Changes the limits for callers and waits until the daemon of aInstance
+  /// has them. Returns false after the timeout of WaitUntil().
+  bool SetLimits(std::string const& aInstance,
+                 tables::caller_limits const& aLimits) const;
+
   /// Waits until order sees stock as serving and stock has installed the
   /// tables. Returns false after the timeout of WaitUntil().
   bool WaitForStock() const;
