LibDaemon: Recognise crashing requests in whatever pieces they arrive

An upload that crashes each upstream that runs it crashed upstreams 16 times in 30 s, while it came once a second in other pieces each time.

Cause: the daemon beside the upstream identified a request by the first frame of its body, which depends on what one read of the sender returned. Behind it was a second cause: a lost call counted as a crash only if the upstream refused a connection right then, but the listener of a process that ends can outlive its other connections. The new event upstream_crashed and the field suspect of call_refused tell the two apart.

A request without a key is now identified by its method, target and the first 128 KiB of its body. The call waits for these bytes; after that and after a wait for a trial, the state of the upstream is checked again. Chunks that wait are joined, so that small ones take no frame each. An upstream counts as alive if an accepted connection stays open or a second one is accepted.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -32,6 +32,10 @@
 /// at most this time: if the upstream closes an idle connection while a request
 /// is sent, it is unknown whether the request was read.
 constexpr core::duration kMaximumIdleForUnsafe = std::chrono::seconds(1);
+/// A request without a key is identified by its first body bytes, this many, so
+/// that the same request is recognised however its body arrives. Half of the
+/// credit, so that the sender need not wait while the call does.
+constexpr std::size_t kIdentifyingBytes = kInitialCreditBytes / 2;
 /// Keeps the admission loop from spinning once the maximum wait has passed.
 constexpr core::duration kMinimumWait = std::chrono::milliseconds(1);
 
@@ -67,7 +71,18 @@
     return false;
   }
   mBodyCredit -= aChunk.mBytes.size();
-  mBody.push_back(std::move(aChunk));
+  mBodyBytes += aChunk.mBytes.size();
+  // Chunks that wait are joined, since the credit counts body bytes and a small
+  // chunk takes far more memory than its bytes.
+  bool const fits =
+    !mBody.empty() && !mBody.back().mLast &&
+    mBody.back().mBytes.size() + aChunk.mBytes.size() <= kMaximumChunkBytes;
+  if (fits) {
+    mBody.back().mBytes += aChunk.mBytes;
+    mBody.back().mLast = aChunk.mLast;
+  } else {
+    mBody.push_back(std::move(aChunk));
+  }
   mBodySignal.Notify();
   return true;
 }
@@ -184,26 +199,39 @@
                           {} };
 }
 
+bool
+incoming_call::HasIdentifyingBytes() const
+{
+  return !mHead.mHasBody || !mHead.mContext.mKey.empty() ||
+         mBodyBytes >= kIdentifyingBytes ||
+         (!mBody.empty() && mBody.back().mLast);
+}
+
 traffic::suspect_id
 incoming_call::SuspectId() const
 {
   if (!mHead.mContext.mKey.empty()) {
     return { core::Hash64(mHead.mContext.mKey) };
   }
-  auto const request = core::Hash64(mHead.mMethod + " " + mHead.mTarget);
-  return { mBody.empty() ? request
-                         : core::Hash64(mBody.front().mBytes, request) };
+  std::string bytes;
+  bytes.reserve(std::min<std::uint64_t>(mBodyBytes, kIdentifyingBytes));
+  for (auto const& chunk : mBody) {
+    bytes.append(chunk.mBytes, 0, kIdentifyingBytes - bytes.size());
+  }
+  return { core::Hash64(bytes,
+                        core::Hash64(mHead.mMethod + " " + mHead.mTarget)) };
 }
 
 task<std::optional<call_refusal>>
 incoming_call::WaitForQuarantine()
 {
-  // The suspect id is computed from the first bytes of the body, among others.
-  while (mHead.mHasBody && mBody.empty() && !mIsCancelled) {
-    co_await mBodySignal.Wait(mHead.mContext.mDeadline);
-    if (Now() >= mHead.mContext.mDeadline) {
-      break;
+  while (!HasIdentifyingBytes()) {
+    if (mIsCancelled || Now() >= mHead.mContext.mDeadline) {
+      co_return call_refusal{ outcome::kNotRun,
+                              refusal_reason::kDeadlineExceeded,
+                              {} };
     }
+    co_await mBodySignal.Wait(mHead.mContext.mDeadline);
   }
   auto const pending = std::make_shared<pending_quarantine>();
   auto const onDecision = [pending, self = shared_from_this()](
@@ -213,8 +241,9 @@
       self->mSignal.Notify();
     });
   };
+  mSuspect = SuspectId();
   mQuarantineCall =
-    mServices.mQuarantine.OnCallAdmitted(Now(), SuspectId(), onDecision);
+    mServices.mQuarantine.OnCallAdmitted(Now(), mSuspect, onDecision);
   while (!pending->mDecision && !mIsCancelled) {
     co_await mSignal.Wait();
   }
@@ -243,16 +272,17 @@
   }
   bool const isLost = aFailure && aFailure->mOutcome == outcome::kUnknown &&
                       aFailure->mReason == refusal_reason::kUpstreamLost;
-  bool hasCrashed = false;
-  if (isLost) {
-    bool const isListening = co_await IsListening(
-      mServices.mExecutor, mServices.mSettings.mUpstream.mAddress);
-    hasCrashed = !isListening;
+  if (!isLost) {
+    quarantine.OnCallEnded(Now(), mQuarantineCall);
+    co_return;
   }
-  if (!hasCrashed) {
+  bool const isListening = co_await IsListening(
+    mServices.mExecutor, mServices.mSettings.mUpstream.mAddress);
+  if (isListening) {
     quarantine.OnCallEnded(Now(), mQuarantineCall);
     co_return;
   }
+  LogCrash();
   auto const isReleased = std::make_shared<bool>(false);
   quarantine.OnUpstreamCrashed(
     Now(), mQuarantineCall, [isReleased, self = shared_from_this()] {
@@ -266,6 +296,16 @@
   }
 }
 
+void
+incoming_call::LogCrash() const
+{
+  core::LogWarning("upstream_crashed")
+    .Field("request", mHead.mContext.mRequest.mValue)
+    .Field("target", mHead.mTarget)
+    .Field("suspect", static_cast<std::int64_t>(mSuspect.mValue))
+    .Field("age_ms", core::Milliseconds(Now() - mArrived));
+}
+
 core::duration
 incoming_call::MaximumConnectionIdle() const
 {
@@ -275,6 +315,11 @@
 task<std::optional<call_refusal>>
 incoming_call::RunAdmitted()
 {
+  // The upstream may have changed its state while the call waited for its body
+  // or for the quarantine.
+  if (auto const refused = mServices.mPolicy.CheckUpstream()) {
+    co_return *refused;
+  }
   mUpstreamId = mServices.mPolicy.UpstreamId();
   if (mServices.mSettings.mUpstream.mReportsItself && mUpstreamId.IsEmpty()) {
     co_return call_refusal{ outcome::kNotRun, refusal_reason::kNotReady, {} };
@@ -613,6 +658,7 @@
     .Field("from", core::FormatAddress(mChannel->RemoteAddress()))
     .Field("outcome", OutcomeName(aRefusal.mOutcome))
     .Field("reason", core::ReasonName(aRefusal.mReason))
+    .Field("suspect", static_cast<std::int64_t>(mSuspect.mValue))
     .Field("age_ms", core::Milliseconds(now - mArrived))
     .Field("left_ms", core::Milliseconds(mHead.mContext.mDeadline - now))
     .Field("load", stamp.mInFlight)
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -94,10 +94,13 @@
   /// Reports the outcome of the call to the quarantine. If the upstream has
   /// crashed, waits until the quarantine lets the failure be reported.
   task<void> ReportToQuarantine(std::optional<call_refusal> aFailure);
+  /// Returns whether the bytes of the body that identify the call have arrived.
+  bool HasIdentifyingBytes() const;
   traffic::suspect_id SuspectId() const;
   task<bool> WaitForCredit();
   void SendResponseHead(response_parser const& aParser);
   void SendRefusal(call_refusal const& aRefusal);
+  void LogCrash() const;
   call_refusal FailureFromError(boost::system::error_code aCode) const;
 
   incoming_services& mServices;
@@ -107,9 +110,13 @@
   signal mBodySignal;
   traffic::call_id mCall;
   std::uint64_t mQuarantineCall = 0;
+  /// Set once the call is passed to the quarantine.
+  traffic::suspect_id mSuspect;
   core::time_point mAdmitted;
   std::shared_ptr<upstream_connection> mConnection;
   std::deque<body_chunk> mBody;
+  /// Body bytes that have arrived.
+  std::uint64_t mBodyBytes = 0;
   std::uint64_t mBodyCredit = kInitialCreditBytes;
   std::uint64_t mResponseCredit = kInitialCreditBytes;
   core::time_point mArrived;
--- a/Libraries/LibDaemon/TrafficPolicy.cpp
+++ b/Libraries/LibDaemon/TrafficPolicy.cpp
@@ -304,14 +304,8 @@
   {
     std::scoped_lock const lock(mMutex);
     call = { ++mLastCallId };
-    bool const isRefusing = !IsUpstreamServing() || IsUpstreamLeaving();
-    if (isRefusing && !mIsDraining) {
-      callbacks.emplace_back(std::move(aCallback),
-                             call_refusal{ outcome::kNotRun,
-                                           IsUpstreamLeaving()
-                                             ? refusal_reason::kDraining
-                                             : refusal_reason::kNotReady,
-                                           kDefaultRetryAfter });
+    if (auto const refused = UpstreamRefusal()) {
+      callbacks.emplace_back(std::move(aCallback), *refused);
     } else if (WouldBeRefusedDownstream(aNow, aContext)) {
       callbacks.emplace_back(std::move(aCallback),
                              call_refusal{ outcome::kNotRun,
@@ -469,6 +463,26 @@
   return mUpstream.mId;
 }
 
+std::optional<call_refusal>
+traffic_policy::CheckUpstream() const
+{
+  std::scoped_lock const lock(mMutex);
+  return UpstreamRefusal();
+}
+
+std::optional<call_refusal>
+traffic_policy::UpstreamRefusal() const
+{
+  bool const isLeaving = IsUpstreamLeaving();
+  if (mIsDraining || (IsUpstreamServing() && !isLeaving)) {
+    return std::nullopt;
+  }
+  return call_refusal{ outcome::kNotRun,
+                       isLeaving ? refusal_reason::kDraining
+                                 : refusal_reason::kNotReady,
+                       kDefaultRetryAfter };
+}
+
 bool
 traffic_policy::IsUpstreamServing() const
 {
--- a/Libraries/LibDaemon/TrafficPolicy.h
+++ b/Libraries/LibDaemon/TrafficPolicy.h
@@ -84,6 +84,9 @@
   traffic::call_id RequestAdmission(core::time_point aNow,
                                     traffic::call_context const& aContext,
                                     admission_callback aCallback);
+  /// Returns the refusal for calls while the local upstream is not serving or
+  /// is leaving; std::nullopt if calls that were admitted may be sent to it.
+  std::optional<call_refusal> CheckUpstream() const;
   /// Completes an admitted call. aLatency is measured from its admission.
   void FinishCall(core::time_point aNow,
                   traffic::call_id aCall,
@@ -222,6 +225,7 @@
   void RecordCallee(core::request_id const& aParent,
                     traffic::callee const& aCallee);
   bool IsUpstreamServing() const;
+  std::optional<call_refusal> UpstreamRefusal() const;
   /// Returns whether the local upstream takes no new calls because it is about
   /// to stop.
   bool IsUpstreamLeaving() const;
--- a/Libraries/LibDaemon/UpstreamClient.cpp
+++ b/Libraries/LibDaemon/UpstreamClient.cpp
@@ -19,6 +19,9 @@
 /// An upstream may close an idle connection while a request is on its way, so
 /// connections are discarded this long before their keep-alive time ends.
 constexpr core::duration kKeepAliveMargin = 1s;
+/// Time for which a connection has to stay open to show that the upstream's
+/// process goes on. An unused listener is closed at once when a process ends.
+constexpr core::duration kListenerCheckTime = 20ms;
 /// Keep-alive time if the upstream sends none. Below the 10 s after which the
 /// users' upstreams close idle connections.
 constexpr core::duration kDefaultKeepAlive = 8s;
@@ -100,8 +103,21 @@
 task<bool>
 IsListening(asio::any_io_executor aExecutor, core::address aUpstream)
 {
-  auto const connection = co_await OpenConnection(aExecutor, aUpstream);
-  co_return connection != nullptr;
+  auto const first = co_await OpenConnection(aExecutor, aUpstream);
+  if (!first) {
+    co_return false;
+  }
+  asio::steady_timer end(aExecutor, kListenerCheckTime);
+  end.async_wait(
+    [first](boost::system::error_code) { first->mStream.cancel(); });
+  auto const [code] = co_await first->mStream.socket().async_wait(
+    tcp::socket::wait_read, kAsTuple);
+  end.cancel();
+  if (code || PeekSocket(first->mStream.socket()) != socket_state::kClosed) {
+    co_return true;
+  }
+  auto const second = co_await OpenConnection(aExecutor, aUpstream);
+  co_return second != nullptr;
 }
 
 task<std::optional<http::response>>
--- a/Libraries/LibDaemon/UpstreamClient.h
+++ b/Libraries/LibDaemon/UpstreamClient.h
@@ -60,7 +60,10 @@
   std::vector<idle_connection> mIdleConnections;
 };
 
-/// Returns whether the upstream accepts a connection.
+/// Returns whether the upstream accepts connections. The listener of a process
+/// that ends can outlive its other connections for a moment, so that an
+/// accepted connection has to stay open, or a second one has to be accepted: an
+/// upstream may also close connections beyond its limit.
 task<bool>
 IsListening(asio::any_io_executor aExecutor, core::address aUpstream);
 
