LibTraffic: Count only crashes of trials against a request

All upstreams of a service crashed once while they ran reads of one page, and every daemon refused the page as quarantined for ten minutes, though the upstreams were back after four seconds.

Cause: two crashes of upstreams that ran a request quarantined it, also if many other requests ran beside it. A page that many callers read is in flight at every upstream, so that a crash of two at once looked like its second. A quarantined request ran nowhere, so that nothing could clear it. Trials that did not run or had no answer, and trials whose daemon or owner left, ended in the same way.

Now only a crash during a trial counts, when nothing else runs at the upstream. After the first, the request is refused for 5 s and tried again once no upstream of the service crashes; the second quarantines it for ten minutes. A trial that did not run proves nothing, one without an answer counts as a crash for 10 s, and owners that have left are succeeded. The daemon also checks 200 ms after a lost call whether its upstream has ended. The messages are as before: one bit of a crash's number tells a trial.

Why it works: a request that crashes each upstream still crashes two trials, so that three upstreams crash at most, and the platform's rule counts retries after the third. A page that is sound completes one of its trials.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -32,6 +32,9 @@
 /// at most this time: if the upstream closes an idle connection while a request
 /// is sent, it is unknown whether the request was read.
 constexpr core::duration kMaximumIdleForUnsafe = std::chrono::seconds(1);
+/// Time from the loss of a call to the second check whether the upstream's
+/// process has ended. It may close its listener after its connections.
+constexpr core::duration kUpstreamRecheckDelay = std::chrono::milliseconds(200);
 /// A request without a key is identified by its first body bytes, this many, so
 /// that the same request is recognised however its body arrives. Half of the
 /// credit, so that the sender need not wait while the call does.
@@ -248,7 +251,7 @@
     co_await mSignal.Wait();
   }
   if (!pending->mDecision) {
-    mServices.mQuarantine.OnCallEnded(Now(), mQuarantineCall);
+    mServices.mQuarantine.OnCallNotRun(Now(), mQuarantineCall);
     co_return call_refusal{ outcome::kNotRun,
                             refusal_reason::kDeadlineExceeded,
                             {} };
@@ -270,8 +273,12 @@
     quarantine.OnCallCompleted(Now(), mQuarantineCall);
     co_return;
   }
-  bool const isLost = aFailure && aFailure->mOutcome == outcome::kUnknown &&
-                      aFailure->mReason == refusal_reason::kUpstreamLost;
+  if (aFailure && aFailure->mOutcome == outcome::kNotRun) {
+    quarantine.OnCallNotRun(Now(), mQuarantineCall);
+    co_return;
+  }
+  bool const isLost =
+    aFailure && aFailure->mReason == refusal_reason::kUpstreamLost;
   if (!isLost) {
     quarantine.OnCallEnded(Now(), mQuarantineCall);
     co_return;
@@ -280,6 +287,10 @@
     mServices.mExecutor, mServices.mSettings.mUpstream.mAddress);
   if (isListening) {
     quarantine.OnCallEnded(Now(), mQuarantineCall);
+    asio::co_spawn(
+      mServices.mExecutor,
+      [self = shared_from_this()] { return self->RecheckUpstream(); },
+      asio::detached);
     co_return;
   }
   LogCrash();
@@ -296,6 +307,19 @@
   }
 }
 
+task<void>
+incoming_call::RecheckUpstream()
+{
+  asio::steady_timer timer(mServices.mExecutor, kUpstreamRecheckDelay);
+  co_await timer.async_wait(kAsTuple);
+  bool const isListening = co_await IsListening(
+    mServices.mExecutor, mServices.mSettings.mUpstream.mAddress);
+  if (!isListening) {
+    LogCrash();
+    mServices.mQuarantine.OnUpstreamGone(Now(), mQuarantineCall);
+  }
+}
+
 void
 incoming_call::LogCrash() const
 {
--- a/Libraries/LibDaemon/IncomingCall.h
+++ b/Libraries/LibDaemon/IncomingCall.h
@@ -94,6 +94,9 @@
   /// Reports the outcome of the call to the quarantine. If the upstream has
   /// crashed, waits until the quarantine lets the failure be reported.
   task<void> ReportToQuarantine(std::optional<call_refusal> aFailure);
+  /// Checks some time after the call was lost whether the upstream's process
+  /// has ended, and reports that to the quarantine.
+  task<void> RecheckUpstream();
   /// Returns whether the bytes of the body that identify the call have arrived.
   bool HasIdentifyingBytes() const;
   traffic::suspect_id SuspectId() const;
--- a/Libraries/LibDaemon/QuarantineService.cpp
+++ b/Libraries/LibDaemon/QuarantineService.cpp
@@ -40,27 +40,46 @@
   return call;
 }
 
+void
+quarantine_service::Forget(std::uint64_t aCall)
+{
+  std::scoped_lock const lock(mMutex);
+  mInFlight.erase(aCall);
+  mReleased.erase(aCall);
+  mPendingCalls.erase(aCall);
+}
+
 void
 quarantine_service::OnCallCompleted(core::time_point aNow, std::uint64_t aCall)
 {
-  {
-    std::scoped_lock const lock(mMutex);
-    mInFlight.erase(aCall);
-    mReleased.erase(aCall);
-  }
+  Forget(aCall);
   Handle(aNow, call_completed{ aCall });
 }
 
 void
 quarantine_service::OnCallEnded(core::time_point aNow, std::uint64_t aCall)
+{
+  Forget(aCall);
+  Handle(aNow, call_unanswered{ aCall });
+}
+
+void
+quarantine_service::OnCallNotRun(core::time_point aNow, std::uint64_t aCall)
+{
+  Forget(aCall);
+  Handle(aNow, call_not_run{ aCall });
+}
+
+void
+quarantine_service::OnUpstreamGone(core::time_point aNow, std::uint64_t aCall)
 {
   {
     std::scoped_lock const lock(mMutex);
-    mInFlight.erase(aCall);
-    mReleased.erase(aCall);
-    mPendingCalls.erase(aCall);
+    if (!mQuarantine.MayStillRun(aCall)) {
+      return;
+    }
   }
-  Handle(aNow, call_unanswered{ aCall });
+  Handle(aNow, upstream_crashed{});
 }
 
 void
--- a/Libraries/LibDaemon/QuarantineService.h
+++ b/Libraries/LibDaemon/QuarantineService.h
@@ -35,6 +35,11 @@
   /// Handles the end of a call without a response and without a crash, such as
   /// a timeout.
   void OnCallEnded(core::time_point aNow, std::uint64_t aCall);
+  /// Handles the end of a call that the upstream has not run.
+  void OnCallNotRun(core::time_point aNow, std::uint64_t aCall);
+  /// Handles the end of the upstream's process some time after aCall ended
+  /// without a response, unless the crash was reported by another call.
+  void OnUpstreamGone(core::time_point aNow, std::uint64_t aCall);
   /// Handles a crash of the upstream while aCall was in flight. aCallback is
   /// called once the loss of the call may be reported to its sender.
   void OnUpstreamCrashed(core::time_point aNow,
@@ -49,6 +54,8 @@
 private:
   using callbacks = std::vector<std::function<void()>>;
 
+  /// Removes a call that has ended.
+  void Forget(std::uint64_t aCall);
   /// Passes an event to the quarantine and performs its actions after the lock
   /// is released.
   void Handle(core::time_point aNow, traffic::quarantine_event const& aEvent);
--- a/Libraries/LibTraffic/Quarantine.cpp
+++ b/Libraries/LibTraffic/Quarantine.cpp
@@ -19,8 +19,31 @@
 /// incarnation is not mistaken for one to this incarnation.
 constexpr unsigned kIncarnationShift = 20;
 constexpr std::size_t kMaximumUnansweredCalls = 1000;
+/// Crashes of trials after which a suspect does not run again.
+constexpr std::size_t kMaximumTrialCrashes = 2;
+/// Other crashes that are kept of a suspect. More would enlarge the notices.
+constexpr std::size_t kMaximumOtherCrashes = 2;
 constexpr core::duration kBusyRetryAfter = std::chrono::milliseconds(200);
 
+void
+LimitCrashes(std::set<crash_id>& aCrashes)
+{
+  std::size_t ofTrials = 0;
+  std::size_t others = 0;
+  std::erase_if(aCrashes, [&](crash_id const& aCrash) {
+    return aCrash.IsOfTrial() ? ++ofTrials > kMaximumTrialCrashes
+                              : ++others > kMaximumOtherCrashes;
+  });
+}
+
+}
+
+std::size_t
+quarantine::suspect::TrialCrashes() const
+{
+  auto const count = std::ranges::count_if(
+    mCrashes, [](crash_id const& aCrash) { return aCrash.IsOfTrial(); });
+  return static_cast<std::size_t>(count);
 }
 
 quarantine::quarantine(quarantine_settings aSettings)
@@ -52,7 +75,27 @@
 quarantine::IsQuarantined(core::time_point aNow, suspect_id aSuspect) const
 {
   return IsSuspect(aNow, aSuspect) &&
-         mSuspects.at(aSuspect).mCrashes.size() > 1;
+         QuarantineEnd(mSuspects.at(aSuspect)) > aNow;
+}
+
+core::time_point
+quarantine::QuarantineEnd(suspect const& aSuspect) const
+{
+  auto const crashes = aSuspect.TrialCrashes();
+  if (crashes == 0) {
+    return {};
+  }
+  if (crashes >= kMaximumTrialCrashes) {
+    return aSuspect.mExpires;
+  }
+  return aSuspect.mExpires - mSettings.mQuarantineTime + mSettings.mTrialPause;
+}
+
+bool
+quarantine::MayStillRun(std::uint64_t aCall) const
+{
+  return std::ranges::find(mUnansweredCalls, aCall, &unanswered_call::mCall) !=
+         mUnansweredCalls.end();
 }
 
 void
@@ -113,23 +156,51 @@
   if (entry == mInFlight.end()) {
     return;
   }
-  auto const id = entry->second;
+  unanswered_call unanswered{
+    aNow + kUnansweredCallRetention, aEvent.mCall, entry->second, std::nullopt
+  };
   mInFlight.erase(entry);
-  mUnansweredCalls.emplace_back(aNow + kUnansweredCallRetention, id);
-  if (mUnansweredCalls.size() > kMaximumUnansweredCalls) {
-    mUnansweredCalls.pop_front();
-  }
   if (isTrial) {
     // The call may still crash this upstream, so it counts as a crash and the
-    // suspect does not reach a third upstream.
-    crash_id const crash{ mSettings.mSelf, ++mLastSequence };
-    AddCrash(aNow, id, crash);
+    // suspect does not reach another upstream before it is known.
+    auto const crash = crash_id::OfTrial(mSettings.mSelf, ++mLastSequence);
+    unanswered.mAssumedCrash = crash;
+    AddCrash(aNow, unanswered.mSuspect, crash);
     EndLocalTrial(aNow, trial_end::kCrashed, crash);
-    Notify(aNow, { 0, { Describe(aNow, id) }, {} }, {}, {});
+    Notify(aNow, { 0, { Describe(aNow, unanswered.mSuspect) }, {} }, {}, {});
+  }
+  mUnansweredCalls.push_back(unanswered);
+  if (mUnansweredCalls.size() > kMaximumUnansweredCalls) {
+    ForgetUnansweredCall(aNow);
   }
   RunTrialIfIdle();
 }
 
+void
+quarantine::On(core::time_point aNow, call_not_run const& aEvent)
+{
+  mWaiting.erase(aEvent.mCall);
+  mInFlight.erase(aEvent.mCall);
+  if (mLocalTrial && mLocalTrial->mCall == aEvent.mCall) {
+    EndLocalTrial(aNow, trial_end::kNotRun, {});
+  }
+  RunTrialIfIdle();
+}
+
+void
+quarantine::ForgetUnansweredCall(core::time_point aNow)
+{
+  auto const call = mUnansweredCalls.front();
+  mUnansweredCalls.pop_front();
+  if (!call.mAssumedCrash) {
+    return;
+  }
+  auto cleared = Describe(aNow, call.mSuspect);
+  cleared.mCrashes = { *call.mAssumedCrash };
+  Clear(aNow, cleared);
+  Notify(aNow, { 0, {}, { cleared } }, {}, {});
+}
+
 void
 quarantine::On(core::time_point aNow, upstream_crashed const&)
 {
@@ -139,25 +210,28 @@
     suspects.insert(id);
     lost.push_back(call);
   }
+  bool const isOfTrial = mLocalTrial && mLocalTrial->mIsRunning;
   // During a trial, no other call can have crashed the upstream.
-  if (!mLocalTrial || !mLocalTrial->mIsRunning) {
-    for (auto const& [until, id] : mUnansweredCalls) {
-      suspects.insert(id);
+  if (!isOfTrial) {
+    for (auto const& call : mUnansweredCalls) {
+      suspects.insert(call.mSuspect);
     }
   }
   mUnansweredCalls.clear();
   mInFlight.clear();
-  crash_id const crash{ mSettings.mSelf, ++mLastSequence };
+  mLastCrash = aNow;
+  ++mLastSequence;
+  auto const crash = isOfTrial
+                       ? crash_id::OfTrial(mSettings.mSelf, mLastSequence)
+                       : crash_id{ mSettings.mSelf, mLastSequence };
   suspicion_notice message;
   for (auto const& id : suspects) {
     AddCrash(aNow, id, crash);
     message.mSuspicions.push_back(Describe(aNow, id));
   }
   if (mLocalTrial) {
-    EndLocalTrial(aNow,
-                  mLocalTrial->mIsRunning ? trial_end::kCrashed
-                                          : trial_end::kNotRun,
-                  crash);
+    EndLocalTrial(
+      aNow, isOfTrial ? trial_end::kCrashed : trial_end::kNotRun, crash);
   }
   Notify(aNow, std::move(message), {}, std::move(lost));
 }
@@ -179,6 +253,17 @@
       return !alive.contains(aPeer);
     });
   }
+  bool const hasDeparture = std::ranges::any_of(
+    old, [&](holder_id const& aPeer) { return !mPeers.contains(aPeer); });
+  if (hasDeparture || !mLastDeparture) {
+    mLastDeparture = aNow;
+  }
+  if (mGranted && !IsAlive(mGranted->mRunner)) {
+    // The result of the trial will not be known. That its daemon is gone says
+    // nothing about the suspect.
+    mEndedTrials.emplace_back(mGranted->mRunner, mGranted->mSequence);
+    mGranted.reset();
+  }
   if (fresh.empty() || mSuspects.empty()) {
     return;
   }
@@ -233,7 +318,7 @@
   refuse_suspect refusal{ aCall, core::refusal_reason::kQuarantined };
   refusal.mRetryAfter = kBusyRetryAfter;
   if (IsQuarantined(aNow, aSuspect)) {
-    refusal.mRetryAfter = mSuspects.at(aSuspect).mExpires - aNow;
+    refusal.mRetryAfter = QuarantineEnd(mSuspects.at(aSuspect)) - aNow;
   }
   mActions.emplace_back(refusal);
 }
@@ -281,11 +366,10 @@
   auto const remaining =
     std::min(aSuspicion.mRemaining, mSettings.mQuarantineTime);
   known.mExpires = std::max(known.mExpires, aNow + remaining);
-  // Two crashes suffice for a quarantine, and more would enlarge the notices.
-  while (known.mCrashes.size() > 2) {
-    known.mCrashes.erase(std::prev(known.mCrashes.end()));
-  }
-  if (known.mCrashes.size() > 1) {
+  LimitCrashes(known.mCrashes);
+  mLastCrash =
+    std::max(mLastCrash, aNow + remaining - mSettings.mQuarantineTime);
+  if (IsQuarantined(aNow, aSuspicion.mSuspect)) {
     RefuseWaiting(aNow, aSuspicion.mSuspect);
   }
 }
--- a/Libraries/LibTraffic/Quarantine.h
+++ b/Libraries/LibTraffic/Quarantine.h
@@ -16,15 +16,23 @@
 /// Isolates requests that crash upstreams: one object on each daemon, for its
 /// local upstream.
 ///
-/// Every request that was in flight at a crash is suspect. The daemon of the
-/// first crash owns the suspicion: only the owner grants trials, one at a time,
-/// and during a trial the suspect is the only request at its upstream. A trial
-/// that crashes is the second crash and quarantines the request everywhere.
-/// If the owner is unreachable or has restarted, a suspect is refused. So at
-/// most two upstreams crash, provided that the notice of the first crash
-/// reaches a daemon before the request does. Therefore the failure is reported
-/// to the sender only after all live daemons of the service have acknowledged
-/// the notice, or after kMaximumReportDelay (report_lost_call).
+/// Every request that was in flight at a crash is suspect. Any number of such
+/// crashes proves nothing: a page that many callers read is in flight at every
+/// upstream, also if they all crash for another reason. The daemon of the first
+/// crash owns the suspicion: only the owner grants trials, one at a time, and
+/// during a trial the suspect is the only request at its upstream. A suspect
+/// that completes is cleared. The crash of a trial may still have another
+/// reason, so the suspect is refused everywhere for a pause and then gets a
+/// second trial, while no upstream of the service crashes. A second crash
+/// quarantines the request everywhere. So at most three upstreams crash,
+/// provided that the notice of the first crash reaches a daemon before the
+/// request does. Therefore the failure is reported to the sender only after all
+/// live daemons of the service have acknowledged the notice, or after
+/// kMaximumReportDelay (report_lost_call).
+///
+/// If the owner is unreachable, a suspect is refused. Once all daemons that
+/// could own it have left or restarted, the first live daemon succeeds them,
+/// after a delay in which a trial that they granted can end.
 namespace cranberryfold::traffic {
 
 inline constexpr core::duration kQuarantineTime = std::chrono::minutes(10);
@@ -37,6 +45,12 @@
   core::duration mQuarantineTime = kQuarantineTime;
   core::duration mMaximumReportDelay = kMaximumReportDelay;
   core::duration mResendAfter = std::chrono::milliseconds(100);
+  /// Time for which a suspect is refused after the crash of its first trial,
+  /// and for which no upstream of the service may crash before the second.
+  core::duration mTrialPause = std::chrono::seconds(5);
+  /// Time from the last departure of a daemon of the service until another one
+  /// grants trials in place of an owner that has left.
+  core::duration mSuccessionDelay = std::chrono::seconds(5);
   /// A trial without a result counts as a crash after this time.
   core::duration mTrialLease = std::chrono::seconds(60);
   /// A suspect that has waited for its trial for this time is refused.
@@ -63,12 +77,19 @@
 };
 
 /// The call ended without an answer and without a crash, for example by a
-/// timeout. Clears no suspicion.
+/// timeout. Clears no suspicion, as the upstream may still run the call.
 struct call_unanswered
 {
   std::uint64_t mCall = 0;
 };
 
+/// The call ended and the upstream has not run it, for example because it
+/// accepted no connection. Proves nothing.
+struct call_not_run
+{
+  std::uint64_t mCall = 0;
+};
+
 /// The local upstream has crashed; all calls in flight are lost.
 struct upstream_crashed
 {};
@@ -93,6 +114,7 @@
 using quarantine_event = std::variant<call_ready,
                                       call_completed,
                                       call_unanswered,
+                                      call_not_run,
                                       upstream_crashed,
                                       service_peers_changed,
                                       quarantine_message_received,
@@ -140,14 +162,34 @@
   actions Handle(core::time_point aNow, quarantine_event const& aEvent);
 
   bool IsSuspect(core::time_point aNow, suspect_id aSuspect) const;
+  /// Returns whether the request is refused everywhere at present, in the pause
+  /// after its first trial or for good.
   bool IsQuarantined(core::time_point aNow, suspect_id aSuspect) const;
+  /// Returns whether the call ended without an answer and may still crash the
+  /// local upstream.
+  bool MayStillRun(std::uint64_t aCall) const;
   std::size_t Suspects() const { return mSuspects.size(); }
 
 private:
   struct suspect
   {
     std::set<crash_id> mCrashes;
+    /// The quarantine time after the last crash.
+    core::time_point mExpires;
+
+    std::size_t TrialCrashes() const;
+  };
+
+  /// A call that ended without an answer, which the upstream may still be
+  /// running.
+  struct unanswered_call
+  {
     core::time_point mExpires;
+    std::uint64_t mCall = 0;
+    suspect_id mSuspect;
+    /// The crash that a trial without an answer counts as. It is withdrawn if
+    /// the upstream does not crash until mExpires.
+    std::optional<crash_id> mAssumedCrash;
   };
 
   /// A trial that this daemon, as owner, has granted.
@@ -201,6 +243,7 @@
   void On(core::time_point aNow, call_ready const& aEvent);
   void On(core::time_point aNow, call_completed const& aEvent);
   void On(core::time_point aNow, call_unanswered const& aEvent);
+  void On(core::time_point aNow, call_not_run const& aEvent);
   void On(core::time_point aNow, upstream_crashed const& aEvent);
   void On(core::time_point aNow, service_peers_changed const& aEvent);
   void On(core::time_point aNow, quarantine_message_received const& aEvent);
@@ -228,6 +271,11 @@
   void Send(core::instance_id const& aTo, quarantine_message aMessage);
   void Run(std::uint64_t aCall, suspect_id aSuspect, bool aIsExclusive);
   void Refuse(core::time_point aNow, std::uint64_t aCall, suspect_id aSuspect);
+  /// Returns when a quarantined suspect may run again, or its suspicion ends.
+  core::time_point QuarantineEnd(suspect const& aSuspect) const;
+  /// Forgets the oldest unanswered call and withdraws the crash that it counted
+  /// as.
+  void ForgetUnansweredCall(core::time_point aNow);
   void RefuseBusy(std::uint64_t aCall);
   void RequestTrial(core::time_point aNow, waiting_call& aWaiting);
   void RunTrialIfIdle();
@@ -251,6 +299,12 @@
               std::set<core::instance_id> aPeers,
               std::vector<std::uint64_t> aDelayedCalls);
   void ReportDelayedCalls(notice& aNotice);
+  bool IsAlive(holder_id const& aDaemon) const;
+  /// Returns the daemon that grants trials of a suspect with these crashes.
+  core::instance_id OwnerOf(std::set<crash_id> const& aCrashes) const;
+  /// Returns whether this daemon grants the trials that a request names another
+  /// owner for.
+  bool HasSucceeded(core::time_point aNow, suspect const& aSuspect) const;
   trial_verdict Decide(core::time_point aNow, trial_request const& aRequest);
   void RefuseWaiting(core::time_point aNow, suspect_id aSuspect);
   void TickTrial(core::time_point aNow);
@@ -262,9 +316,12 @@
   quarantine_settings mSettings;
   std::set<holder_id> mPeers;
   std::map<std::uint64_t, suspect_id> mInFlight;
-  /// Calls that ended without an answer, which the upstream may still be
-  /// running, and until when they are kept.
-  std::deque<std::pair<core::time_point, suspect_id>> mUnansweredCalls;
+  std::deque<unanswered_call> mUnansweredCalls;
+  /// The last crash of an upstream of the service that is known.
+  core::time_point mLastCrash;
+  /// When a daemon of the service was last seen to leave or restart, or the
+  /// start of this one.
+  std::optional<core::time_point> mLastDeparture;
   std::map<suspect_id, suspect> mSuspects;
   std::map<std::pair<suspect_id, crash_id>, core::time_point> mCleared;
   std::map<std::uint64_t, waiting_call> mWaiting;
--- a/Libraries/LibTraffic/QuarantineMessages.h
+++ b/Libraries/LibTraffic/QuarantineMessages.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -24,8 +25,18 @@
 {
   /// The daemon of the upstream that crashed.
   holder_id mDaemon;
+  /// The highest bit tells a crash during a trial, when no other request ran.
+  /// Daemons of earlier versions do not look at it.
   std::uint64_t mSequence = 0;
 
+  static constexpr std::uint64_t kTrialBit = std::uint64_t{ 1 } << 63U;
+
+  static crash_id OfTrial(holder_id aDaemon, std::uint64_t aSequence)
+  {
+    return { std::move(aDaemon), aSequence | kTrialBit };
+  }
+  bool IsOfTrial() const { return (mSequence & kTrialBit) != 0; }
+
   // NOLINTNEXTLINE(modernize-use-nullptr): see LibCore/Ids.h
   auto operator<=>(crash_id const&) const = default;
 };
--- a/Libraries/LibTraffic/QuarantineNotices.cpp
+++ b/Libraries/LibTraffic/QuarantineNotices.cpp
@@ -140,8 +140,9 @@
   });
   std::erase_if(mCleared,
                 [&](auto const& aEntry) { return aEntry.second <= aNow; });
-  while (!mUnansweredCalls.empty() && mUnansweredCalls.front().first <= aNow) {
-    mUnansweredCalls.pop_front();
+  while (!mUnansweredCalls.empty() &&
+         mUnansweredCalls.front().mExpires <= aNow) {
+    ForgetUnansweredCall(aNow);
   }
 }
 
--- a/Libraries/LibTraffic/QuarantineTrial.cpp
+++ b/Libraries/LibTraffic/QuarantineTrial.cpp
@@ -21,13 +21,52 @@
   if (found == mSuspects.end()) {
     return;
   }
-  auto const& crash = *found->second.mCrashes.begin();
-  aWaiting.mOwner = crash.mDaemon.mInstance;
+  auto const& crashes = found->second.mCrashes;
+  aWaiting.mOwner = OwnerOf(crashes);
+  auto const ofOwner =
+    std::ranges::find_if(crashes, [&](crash_id const& aCrash) {
+      return aCrash.mDaemon.mInstance == aWaiting.mOwner &&
+             IsAlive(aCrash.mDaemon);
+    });
+  auto const& crash = ofOwner == crashes.end() ? *crashes.begin() : *ofOwner;
   Send(aWaiting.mOwner,
        trial_request{
          aWaiting.mSuspect, crash, mSettings.mSelf, aWaiting.mSequence });
 }
 
+bool
+quarantine::IsAlive(holder_id const& aDaemon) const
+{
+  return aDaemon == mSettings.mSelf || mPeers.contains(aDaemon);
+}
+
+core::instance_id
+quarantine::OwnerOf(std::set<crash_id> const& aCrashes) const
+{
+  for (bool const isOfTrial : { false, true }) {
+    for (auto const& crash : aCrashes) {
+      if (crash.IsOfTrial() == isOfTrial && IsAlive(crash.mDaemon)) {
+        return crash.mDaemon.mInstance;
+      }
+    }
+  }
+  auto const first = mPeers.empty()
+                       ? mSettings.mSelf
+                       : std::min(*mPeers.begin(), mSettings.mSelf);
+  return first.mInstance;
+}
+
+bool
+quarantine::HasSucceeded(core::time_point aNow, suspect const& aSuspect) const
+{
+  bool const isOwned =
+    std::ranges::any_of(aSuspect.mCrashes, [&](crash_id const& aCrash) {
+      return IsAlive(aCrash.mDaemon);
+    });
+  return !isOwned && OwnerOf(aSuspect.mCrashes) == mSettings.mSelf.mInstance &&
+         mLastDeparture && aNow >= *mLastDeparture + mSettings.mSuccessionDelay;
+}
+
 void
 quarantine::Receive(core::time_point aNow,
                     core::instance_id const& aFrom,
@@ -42,17 +81,26 @@
 trial_verdict
 quarantine::Decide(core::time_point aNow, trial_request const& aRequest)
 {
-  if (aRequest.mCrash.mDaemon != mSettings.mSelf) {
-    // An earlier incarnation of this daemon owned the suspicion and may have
-    // granted a trial, so the suspicion has to expire.
-    return trial_verdict::kBusy;
-  }
+  bool const isOwner = aRequest.mCrash.mDaemon == mSettings.mSelf;
+  bool const isCleared =
+    mCleared.contains({ aRequest.mSuspect, aRequest.mCrash });
   if (!IsSuspect(aNow, aRequest.mSuspect)) {
-    return trial_verdict::kNotSuspect;
+    return isOwner || isCleared ? trial_verdict::kNotSuspect
+                                : trial_verdict::kBusy;
+  }
+  auto const& known = mSuspects.at(aRequest.mSuspect);
+  if (!isOwner && !HasSucceeded(aNow, known)) {
+    // The daemon that owned the suspicion, or an earlier incarnation of this
+    // one, may have granted a trial that still runs.
+    return trial_verdict::kBusy;
   }
   if (IsQuarantined(aNow, aRequest.mSuspect)) {
     return trial_verdict::kQuarantined;
   }
+  bool const isCalm = aNow >= mLastCrash + mSettings.mTrialPause;
+  if (known.TrialCrashes() > 0 && !isCalm) {
+    return trial_verdict::kBusy;
+  }
   trial_key const key{ aRequest.mRunner, aRequest.mSequence };
   if (mGranted) {
     auto const isSame =
@@ -133,7 +181,7 @@
   auto const ended = *mLocalTrial;
   mLocalTrial.reset();
   SendResult(aNow, ended.mWaiting, aEnd, aCrash);
-  if (aEnd == trial_end::kNotRun) {
+  if (!ended.mIsRunning) {
     Refuse(aNow, ended.mCall, ended.mWaiting.mSuspect);
   }
 }
@@ -216,7 +264,9 @@
   // The trial has no result, so it counts as a crash.
   auto const expired = *mGranted;
   mGranted.reset();
-  AddCrash(aNow, expired.mSuspect, { expired.mRunner, expired.mSequence });
+  AddCrash(aNow,
+           expired.mSuspect,
+           crash_id::OfTrial(expired.mRunner, expired.mSequence));
   Notify(aNow, { 0, { Describe(aNow, expired.mSuspect) }, {} }, {}, {});
 }
 
--- a/Tests/RandomRun/TestTrafficRun.cpp
+++ b/Tests/RandomRun/TestTrafficRun.cpp
@@ -112,7 +112,7 @@
 
 BOOST_AUTO_TEST_CASE(FailsWithoutLifeFence)
 {
-  ExpectViolation("traffic --steps 6000 --seed 17 --without life_fence",
+  ExpectViolation("traffic --steps 6000 --seed 151 --without life_fence",
                   "ran twice");
 }
 
--- a/Utilities/RandomRun/TrafficCalls.cpp
+++ b/Utilities/RandomRun/TrafficCalls.cpp
@@ -295,7 +295,7 @@
       Note("trial beside a call that its daemon has given up");
     }
   }
-  Execute(aDaemon, aAction.mCall);
+  Execute(aDaemon, aAction.mCall, aAction.mExclusive);
 }
 
 void
--- a/Utilities/RandomRun/TrafficUpstreams.cpp
+++ b/Utilities/RandomRun/TrafficUpstreams.cpp
@@ -29,7 +29,7 @@
 }
 
 void
-traffic_world::Execute(std::size_t aDaemon, std::uint64_t aLocal)
+traffic_world::Execute(std::size_t aDaemon, std::uint64_t aLocal, bool aIsTrial)
 {
   auto& self = *mDaemons[aDaemon];
   auto const& call = self.mLocals.at(aLocal).mCall;
@@ -48,25 +48,38 @@
     Fail("a caller was told not_run, and then " + request.mName + " ran");
   }
   if (request.mPoison) {
-    CheckPoison(aDaemon, request);
+    CheckPoison(aDaemon, request, aIsTrial);
   }
-  self.mExecutions[aLocal] = {
-    call.mRequest, call.mAttempt, mNow + request.mServiceTime, response
-  };
+  self.mExecutions[aLocal] = { call.mRequest,
+                               call.mAttempt,
+                               mNow + request.mServiceTime,
+                               response,
+                               aIsTrial };
 }
 
-/// At most two upstreams may crash. A daemon that was kept from hearing of the
-/// crashes is excused; such runs are counted.
+/// After two crashes, a request may run only in trials, and no longer after two
+/// trials have crashed. The news of one crash can be lost with a daemon that
+/// restarts. A daemon that was kept from hearing of the crashes is excused;
+/// such runs are counted.
 void
-traffic_world::CheckPoison(std::size_t aDaemon, caller_request const& aRequest)
+traffic_world::CheckPoison(std::size_t aDaemon,
+                           caller_request const& aRequest,
+                           bool aIsTrial)
 {
-  if (aRequest.mCrashes.size() < 2) {
+  std::vector<core::time_point> crashes;
+  for (auto const& crash : aRequest.mCrashes) {
+    if (crash.mIsOfTrial || !aIsTrial) {
+      crashes.push_back(crash.mTime);
+    }
+  }
+  if (crashes.size() < 2) {
     return;
   }
-  auto const known = std::max(aRequest.mCrashes[1], mLastDisturbance);
+  auto const known = std::max(crashes[1], mLastDisturbance);
   if (mNow > known + kSpreadOfSuspicion) {
     Fail(aRequest.mName + " runs on " + NameOf(aDaemon) +
-         " after it crashed two upstreams");
+         (aIsTrial ? " after two trials of it crashed"
+                   : " beside other requests after it crashed two upstreams"));
   }
   ++mCounters.mExcusedCrashes;
 }
@@ -83,7 +96,7 @@
     }
     auto& request = mRequests[running.mRequest];
     if (request.mPoison) {
-      request.mCrashes.push_back(mNow);
+      request.mCrashes.push_back({ mNow, running.mIsTrial });
       Note(request.mName + " crashes the upstream of " + NameOf(aDaemon));
       UpstreamDied(aDaemon);
       return;
--- a/Utilities/RandomRun/TrafficWorld.h
+++ b/Utilities/RandomRun/TrafficWorld.h
@@ -64,6 +64,14 @@
   std::uint32_t mExecutions = 0;
 };
 
+/// A crash of an upstream by a request.
+struct crash_by_request
+{
+  core::time_point mTime;
+  /// Whether no other request ran at the upstream.
+  bool mIsOfTrial = false;
+};
+
 struct caller_request
 {
   std::string mName;
@@ -78,7 +86,7 @@
   core::time_point mFirstSent;
   std::vector<caller_attempt> mAttempts;
   std::vector<std::string> mResponses;
-  std::vector<core::time_point> mCrashes;
+  std::vector<crash_by_request> mCrashes;
   std::optional<core::time_point> mResendAt;
   bool mDone = false;
 };
@@ -189,6 +197,7 @@
     std::size_t mAttempt = 0;
     core::time_point mFinish;
     std::string mResponse;
+    bool mIsTrial = false;
   };
 
   struct daemon
@@ -266,8 +275,10 @@
   void Apply(std::size_t aDaemon, traffic::report_lost_call const& aAction);
   void Apply(std::size_t aDaemon,
              traffic::send_quarantine_message const& aAction);
-  void Execute(std::size_t aDaemon, std::uint64_t aLocal);
-  void CheckPoison(std::size_t aDaemon, caller_request const& aRequest);
+  void Execute(std::size_t aDaemon, std::uint64_t aLocal, bool aIsTrial);
+  void CheckPoison(std::size_t aDaemon,
+                   caller_request const& aRequest,
+                   bool aIsTrial);
   void AnswerLocal(std::size_t aDaemon,
                    std::uint64_t aLocal,
                    traffic::dispatch_outcome aOutcome,
