LibDaemon: Check the upstream of a cancelled call only once

A cancelled call ends with a connection that the daemon itself has closed. It was checked at once whether the upstream had crashed, and again after 200 ms; the first check proves nothing and costs the upstream a connection.

--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -283,8 +283,12 @@
     quarantine.OnCallEnded(Now(), mQuarantineCall);
     co_return;
   }
-  bool const isListening = co_await IsListening(
-    mServices.mExecutor, mServices.mSettings.mUpstream.mAddress);
+  // The connection of a cancelled call was closed by this daemon.
+  bool isListening = mIsCancelled;
+  if (!isListening) {
+    isListening = co_await IsListening(mServices.mExecutor,
+                                       mServices.mSettings.mUpstream.mAddress);
+  }
   if (isListening) {
     quarantine.OnCallEnded(Now(), mQuarantineCall);
     asio::co_spawn(
