--- a/Libraries/LibTraffic/Quarantine.h
+++ b/Libraries/LibTraffic/Quarantine.h
@@ -301,7 +301,7 @@
   void ReportDelayedCalls(notice& aNotice);
   bool IsAlive(holder_id const& aDaemon) const;
   /// Returns the daemon that grants trials of a suspect with these crashes.
-  core::instance_id OwnerOf(std::set<crash_id> const& aCrashes) const;
+  holder_id OwnerOf(std::set<crash_id> const& aCrashes) const;
   /// Returns whether this daemon grants the trials that a request names another
   /// owner for.
   bool HasSucceeded(core::time_point aNow, suspect const& aSuspect) const;
--- a/Libraries/LibTraffic/QuarantineTrial.cpp
+++ b/Libraries/LibTraffic/QuarantineTrial.cpp
@@ -22,12 +22,9 @@
     return;
   }
   auto const& crashes = found->second.mCrashes;
-  aWaiting.mOwner = OwnerOf(crashes);
-  auto const ofOwner =
-    std::ranges::find_if(crashes, [&](crash_id const& aCrash) {
-      return aCrash.mDaemon.mInstance == aWaiting.mOwner &&
-             IsAlive(aCrash.mDaemon);
-    });
+  auto const owner = OwnerOf(crashes);
+  aWaiting.mOwner = owner.mInstance;
+  auto const ofOwner = std::ranges::find(crashes, owner, &crash_id::mDaemon);
   auto const& crash = ofOwner == crashes.end() ? *crashes.begin() : *ofOwner;
   Send(aWaiting.mOwner,
        trial_request{
@@ -40,31 +37,29 @@
   return aDaemon == mSettings.mSelf || mPeers.contains(aDaemon);
 }
 
-core::instance_id
+holder_id
 quarantine::OwnerOf(std::set<crash_id> const& aCrashes) const
 {
   for (bool const isOfTrial : { false, true }) {
     for (auto const& crash : aCrashes) {
       if (crash.IsOfTrial() == isOfTrial && IsAlive(crash.mDaemon)) {
-        return crash.mDaemon.mInstance;
+        return crash.mDaemon;
       }
     }
   }
-  auto const first = mPeers.empty()
-                       ? mSettings.mSelf
-                       : std::min(*mPeers.begin(), mSettings.mSelf);
-  return first.mInstance;
+  return mPeers.empty() ? mSettings.mSelf
+                        : std::min(*mPeers.begin(), mSettings.mSelf);
 }
 
 bool
 quarantine::HasSucceeded(core::time_point aNow, suspect const& aSuspect) const
 {
-  bool const isOwned =
-    std::ranges::any_of(aSuspect.mCrashes, [&](crash_id const& aCrash) {
-      return IsAlive(aCrash.mDaemon);
-    });
-  return !isOwned && OwnerOf(aSuspect.mCrashes) == mSettings.mSelf.mInstance &&
-         mLastDeparture && aNow >= *mLastDeparture + mSettings.mSuccessionDelay;
+  auto const& crashes = aSuspect.mCrashes;
+  bool const isOwn =
+    std::ranges::find(crashes, mSettings.mSelf, &crash_id::mDaemon) !=
+    crashes.end();
+  return !isOwn && OwnerOf(crashes) == mSettings.mSelf && mLastDeparture &&
+         aNow >= *mLastDeparture + mSettings.mSuccessionDelay;
 }
 
 void
