--- a/Libraries/LibDaemon/CallFrames.h
+++ b/Libraries/LibDaemon/CallFrames.h
@@ -179,6 +179,21 @@
                                 control_frame,
                                 link_probe>;
 
+/// Appends aNext to aLast, which is a body_chunk or a call_response_chunk of
+/// the same stream, if both fit into one frame. Returns whether they did.
+template<class Chunk>
+bool
+JoinChunks(Chunk& aLast, Chunk const& aNext)
+{
+  bool const fits = !aLast.mLast && aLast.mBytes.size() + aNext.mBytes.size() <=
+                                      kMaximumChunkBytes;
+  if (fits) {
+    aLast.mBytes += aNext.mBytes;
+    aLast.mLast = aNext.mLast;
+  }
+  return fits;
+}
+
 std::string
 EncodeCallFrame(call_frame const& aFrame);
 
--- a/Libraries/LibDaemon/CallLink.cpp
+++ b/Libraries/LibDaemon/CallLink.cpp
@@ -56,14 +56,7 @@
   auto* const last = aEvents.empty()
                        ? nullptr
                        : std::get_if<call_response_chunk>(&aEvents.back());
-  bool const fits =
-    chunk != nullptr && last != nullptr && !last->mLast &&
-    last->mBytes.size() + chunk->mBytes.size() <= kMaximumChunkBytes;
-  if (fits) {
-    last->mBytes += chunk->mBytes;
-    last->mLast = chunk->mLast;
-  }
-  return fits;
+  return chunk != nullptr && last != nullptr && JoinChunks(*last, *chunk);
 }
 
 }
--- a/Libraries/LibDaemon/IncomingCall.cpp
+++ b/Libraries/LibDaemon/IncomingCall.cpp
@@ -77,13 +77,7 @@
   mBodyBytes += aChunk.mBytes.size();
   // Chunks that wait are joined, since the credit counts body bytes and a small
   // chunk takes far more memory than its bytes.
-  bool const fits =
-    !mBody.empty() && !mBody.back().mLast &&
-    mBody.back().mBytes.size() + aChunk.mBytes.size() <= kMaximumChunkBytes;
-  if (fits) {
-    mBody.back().mBytes += aChunk.mBytes;
-    mBody.back().mLast = aChunk.mLast;
-  } else {
+  if (mBody.empty() || !JoinChunks(mBody.back(), aChunk)) {
     mBody.push_back(std::move(aChunk));
   }
   mBodySignal.Notify();
