--- a/Tests/Daemon/TestCallerLimits.cpp
+++ b/Tests/Daemon/TestCallerLimits.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint32_t kLongHeader = 12'000;
 constexpr std::uint64_t kShortBody = 100'000;
 constexpr std::uint64_t kLongBody = 1'000'000;
+constexpr std::size_t kChunkBytes = 16'384;
 
 std::string const kGet = "GET /stock/item HTTP/1.1\r\nhost: stock\r\n";
 std::string const kEndOfHead = "\r\n\r\n";
@@ -30,20 +31,13 @@
 std::string
 Upload(std::size_t aBytes)
 {
-  return "PUT /photos/1 HTTP/1.1\r\nhost: photos\r\ncontent-length: " +
-         std::to_string(aBytes) + kEndOfHead + std::string(aBytes, 'p');
+  return UploadWithLength(std::string(aBytes, 'p'));
 }
 
 std::string
 ChunkedUpload(std::size_t aChunks)
 {
-  std::string request =
-    "PUT /photos/1 HTTP/1.1\r\nhost: photos\r\ntransfer-encoding: chunked" +
-    kEndOfHead;
-  for (std::size_t chunk = 0; chunk < aChunks; ++chunk) {
-    request += "4000\r\n" + std::string(0x4000, 'p') + "\r\n";
-  }
-  return request + "0" + kEndOfHead;
+  return UploadInChunks(std::string(aChunks * kChunkBytes, 'p'), kChunkBytes);
 }
 
 tables::caller_limits
@@ -82,6 +76,15 @@
     }
   }
 
+  /// Opens connections under the first limits and changes to the second.
+  void ChangeLimits(tables::caller_limits const& aFrom,
+                    tables::caller_limits const& aTo)
+  {
+    BOOST_REQUIRE(mMesh.SetLimits("order", aFrom));
+    OpenConnections();
+    BOOST_REQUIRE(mMesh.SetLimits("order", aTo));
+  }
+
   /// Sends aRequest on each kept connection and on a new one.
   void ExpectEverywhere(std::string const& aRequest, unsigned aStatus)
   {
@@ -102,9 +105,8 @@
 // that were in force when they became idle.
 BOOST_AUTO_TEST_CASE(KeptConnectionsFollowRaisedLimits)
 {
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kShortHeader, kShortBody)));
-  OpenConnections();
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kLongHeader, kLongBody)));
+  ChangeLimits(Limits(kShortHeader, kShortBody),
+               Limits(kLongHeader, kLongBody));
   ExpectEverywhere(Upload(kLongBody / 2), 200);
   ExpectEverywhere(ChunkedUpload(20), 200);
   ExpectEverywhere(ReadWithHeader(kLongHeader / 2), 200);
@@ -114,27 +116,21 @@
 // is lost because the caller still sends.
 BOOST_AUTO_TEST_CASE(KeptConnectionsFollowLoweredBodyLimit)
 {
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kLongHeader, kLongBody)));
-  OpenConnections();
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kLongHeader, kShortBody)));
+  ChangeLimits(Limits(kLongHeader, kLongBody), Limits(kLongHeader, kShortBody));
   ExpectEverywhere(Upload(kLongBody / 2), 413);
 }
 
 // As above, for bodies whose length is not announced.
 BOOST_AUTO_TEST_CASE(KeptConnectionsFollowLoweredLimitOfChunkedBodies)
 {
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kLongHeader, kLongBody)));
-  OpenConnections();
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kLongHeader, kShortBody)));
+  ChangeLimits(Limits(kLongHeader, kLongBody), Limits(kLongHeader, kShortBody));
   ExpectEverywhere(ChunkedUpload(60), 413);
 }
 
 // As above, for headers.
 BOOST_AUTO_TEST_CASE(KeptConnectionsFollowLoweredHeaderLimit)
 {
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kLongHeader, kLongBody)));
-  OpenConnections();
-  BOOST_REQUIRE(mMesh.SetLimits("order", Limits(kShortHeader, kLongBody)));
+  ChangeLimits(Limits(kLongHeader, kLongBody), Limits(kShortHeader, kLongBody));
   ExpectEverywhere(ReadWithHeader(kLongHeader / 2), 431);
 }
 
@@ -143,9 +139,7 @@
 BOOST_AUTO_TEST_CASE(IdleConnectionsFollowARaisedTimeout)
 {
   constexpr auto kShortTimeout = 3s;
-  BOOST_REQUIRE(mMesh.SetLimits("order", IdleLimit(kShortTimeout)));
-  OpenConnections();
-  BOOST_REQUIRE(mMesh.SetLimits("order", IdleLimit(60s)));
+  ChangeLimits(IdleLimit(kShortTimeout), IdleLimit(60s));
   std::this_thread::sleep_for(kShortTimeout + 1s);
   ExpectEverywhere(kGet + "\r\n", 200);
 }
@@ -154,9 +148,7 @@
 // allows.
 BOOST_AUTO_TEST_CASE(IdleConnectionsFollowALoweredTimeout)
 {
-  BOOST_REQUIRE(mMesh.SetLimits("order", IdleLimit(60s)));
-  OpenConnections();
-  BOOST_REQUIRE(mMesh.SetLimits("order", IdleLimit(500ms)));
+  ChangeLimits(IdleLimit(60s), IdleLimit(500ms));
   std::this_thread::sleep_for(1500ms);
   for (auto& caller : mCallers) {
     BOOST_TEST(caller.Send(kGet + "\r\n").mStatus == 0U);
--- a/Tests/Daemon/TestCrashingRequests.cpp
+++ b/Tests/Daemon/TestCrashingRequests.cpp
@@ -1,7 +1,6 @@
 #include "Daemon/ScriptedStock.h"
 #include "Support/LateReader.h"
 
-#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -32,28 +31,6 @@
 std::string const kBad = Body('x');
 std::string const kGood = Body('y');
 
-std::string
-WithLength(std::string const& aBody)
-{
-  return "PUT /photos/1 HTTP/1.1\r\nhost: photos\r\ncontent-length: " +
-         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
-}
-
-std::string
-InChunks(std::string const& aBody, std::size_t aChunkBytes)
-{
-  std::string request =
-    "PUT /photos/1 HTTP/1.1\r\nhost: photos\r\ntransfer-encoding: "
-    "chunked\r\n\r\n";
-  for (std::size_t start = 0; start < aBody.size(); start += aChunkBytes) {
-    auto const chunk = aBody.substr(start, aChunkBytes);
-    std::ostringstream size;
-    size << std::hex << chunk.size();
-    request += size.str() + "\r\n" + chunk + "\r\n";
-  }
-  return request + "0\r\n\r\n";
-}
-
 /// The same request with other boundaries between what arrives together.
 struct arrival
 {
@@ -105,18 +82,18 @@
 BOOST_AUTO_TEST_CASE(RequestIsRecognisedInOtherPieces)
 {
   std::vector<arrival> const arrivals{
-    { WithLength(kBad), 1'448 },
-    { WithLength(kBad), 7'240 },
-    { InChunks(kBad, kChunkBytes), 1'448 },
-    { InChunks(kBad, kBodyBytes), 100'000 },
-    { WithLength(kBad), 100'000 },
-    { WithLength(kBad), 500 },
-    { InChunks(kBad, 300), 20'000 },
-    { WithLength(kBad), 13'032 },
-    { WithLength(kBad), 2'896 },
-    { InChunks(kBad, 1'000), 700 },
-    { WithLength(kBad), 5'792 },
-    { WithLength(kBad), 30'000 },
+    { UploadWithLength(kBad), 1'448 },
+    { UploadWithLength(kBad), 7'240 },
+    { UploadInChunks(kBad, kChunkBytes), 1'448 },
+    { UploadInChunks(kBad, kBodyBytes), 100'000 },
+    { UploadWithLength(kBad), 100'000 },
+    { UploadWithLength(kBad), 500 },
+    { UploadInChunks(kBad, 300), 20'000 },
+    { UploadWithLength(kBad), 13'032 },
+    { UploadWithLength(kBad), 2'896 },
+    { UploadInChunks(kBad, 1'000), 700 },
+    { UploadWithLength(kBad), 5'792 },
+    { UploadWithLength(kBad), 30'000 },
   };
   StartCrashing();
   unsigned last = 0;
@@ -128,8 +105,8 @@
   BOOST_TEST(mCrashes > 0U);
   BOOST_TEST(last == kQuarantined);
   late_reader caller(mMesh.Caller("order"));
-  BOOST_TEST(caller.Send(WithLength(kGood)).mStatus == 200U);
-  BOOST_TEST(caller.Send(InChunks(kGood, kChunkBytes)).mStatus == 200U);
+  BOOST_TEST(caller.Send(UploadWithLength(kGood)).mStatus == 200U);
+  BOOST_TEST(caller.Send(UploadInChunks(kGood, kChunkBytes)).mStatus == 200U);
 }
 
 // Guards against a request that is held back because an upstream crashed while
@@ -137,11 +114,12 @@
 BOOST_AUTO_TEST_CASE(RequestThatCompletesIsNoLongerSuspect)
 {
   StartCrashing();
-  SendBad({ WithLength(kGood), 1'448 });
+  SendBad({ UploadWithLength(kGood), 1'448 });
   late_reader caller(mMesh.Caller("order"));
-  BOOST_TEST(WaitUntil(
-    [&] { return caller.Send(InChunks(kGood, kChunkBytes)).mStatus == 200; }));
-  BOOST_TEST(caller.Send(WithLength(kGood), 7'240).mStatus == 200U);
+  BOOST_TEST(WaitUntil([&] {
+    return caller.Send(UploadInChunks(kGood, kChunkBytes)).mStatus == 200;
+  }));
+  BOOST_TEST(caller.Send(UploadWithLength(kGood), 7'240).mStatus == 200U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Daemon/TestEarlyAnswers.cpp
+++ b/Tests/Daemon/TestEarlyAnswers.cpp
@@ -10,31 +10,25 @@
 namespace {
 
 constexpr std::size_t kPieceBytes = 16'384;
+constexpr std::size_t kChunkBytes = 16'384;
 /// A slow upload lasts longer than the daemon waits for input without a
 /// deadline.
 constexpr auto kSlowPause = 100ms;
 constexpr std::size_t kSlowPieceBytes = 8'192;
 constexpr auto kPause = 2ms;
 
-std::string const kPut =
-  "PUT /photos/1 HTTP/1.1\r\nhost: photos\r\nx-padding: a\r\n";
 std::string const kGet = "GET /stock/item HTTP/1.1\r\nhost: stock\r\n\r\n";
 
 std::string
-Upload(std::size_t aSize)
+Upload(std::size_t aBytes)
 {
-  return kPut + "content-length: " + std::to_string(aSize) + "\r\n\r\n" +
-         std::string(aSize, 'p');
+  return UploadWithLength(std::string(aBytes, 'p'));
 }
 
 std::string
 ChunkedUpload(std::size_t aChunks)
 {
-  std::string request = kPut + "transfer-encoding: chunked\r\n\r\n";
-  for (std::size_t chunk = 0; chunk < aChunks; ++chunk) {
-    request += "4000\r\n" + std::string(0x4000, 'p') + "\r\n";
-  }
-  return request + "0\r\n\r\n";
+  return UploadInChunks(std::string(aChunks * kChunkBytes, 'p'), kChunkBytes);
 }
 
 /// Uploads to an upstream that answers when it has read the head, and reads the
--- a/Tests/Support/LateReader.cpp
+++ b/Tests/Support/LateReader.cpp
@@ -1,6 +1,7 @@
 #include "Support/LateReader.h"
 
 #include <algorithm>
+#include <sstream>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,28 @@
 
 constexpr int kReceiveBufferBytes = 16 * 1024;
 
+std::string const kUploadHead = "PUT /photos/1 HTTP/1.1\r\nhost: photos\r\n";
+
+}
+
+std::string
+UploadWithLength(std::string const& aBody)
+{
+  return kUploadHead + "content-length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+std::string
+UploadInChunks(std::string const& aBody, std::size_t aChunkBytes)
+{
+  std::string request = kUploadHead + "transfer-encoding: chunked\r\n\r\n";
+  for (std::size_t start = 0; start < aBody.size(); start += aChunkBytes) {
+    auto const chunk = aBody.substr(start, aChunkBytes);
+    std::ostringstream size;
+    size << std::hex << chunk.size();
+    request += size.str() + "\r\n" + chunk + "\r\n";
+  }
+  return request + "0\r\n\r\n";
 }
 
 struct late_reader::state
--- a/Tests/Support/LateReader.h
+++ b/Tests/Support/LateReader.h
@@ -9,6 +9,14 @@
 
 namespace cranberryfold::test_support {
 
+/// Returns a whole upload with a length.
+std::string
+UploadWithLength(std::string const& aBody);
+
+/// Returns a whole upload in chunks of at most aChunkBytes.
+std::string
+UploadInChunks(std::string const& aBody, std::size_t aChunkBytes);
+
 struct late_response
 {
   /// 0 if there is no response.
